--- a/src/bin/silverjunction-benchlink/main.rs
+++ b/src/bin/ochreward-adapter/main.rs
@@ -3,7 +3,7 @@
 
 mod wire;
 
-use silverjunction::{Action, Router};
+use ochreward::{Action, Router};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
@@ -60,7 +60,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("silverjunction-benchlink: {message}");
+            eprintln!("ochreward-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/silverjunction-benchlink/wire.rs
+++ b/src/bin/ochreward-adapter/wire.rs
@@ -1,7 +1,7 @@
 //! The bench's wire, as serde sees it, and its translation to and from the library's types.
 
+use ochreward as api;
 use serde::{Deserialize, Deserializer, Serialize};
-use silverjunction as api;
 
 /// An absent value and a null both take the default.
 fn or_default<'de, D: Deserializer<'de>, T: Default + Deserialize<'de>>(d: D) -> Result<T, D::Error> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! clock, no network and no threads of its own; the host passes the time in with every event.
 //!
 //! ```
-//! use silverjunction::{Action, Class, Effect, Event, KeyScope, Listing, Router, Settings, Standing};
+//! use ochreward::{Action, Class, Effect, Event, KeyScope, Listing, Router, Settings, Standing};
 //!
 //! let settings = Settings {
 //!     balancers: 1,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -1,6 +1,6 @@
 //! One small scenario per failure that was found or foreseen, on the module alone.
 
-use silverjunction::*;
+use ochreward::*;
 
 const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,9 +1,9 @@
 //! The five rules over seeded random event streams. The world below answers at random, breaks, drains and restarts
 //! workers; it keeps its own books and checks every action against them.
 
+use ochreward::*;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
-use silverjunction::*;
 use std::collections::{BTreeMap, VecDeque};
 
 const ZONES: usize = 2;
