--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,7 @@
+//! The one place where configuration is read, checked and given defaults. Messages name the faulty key.
+
+mod keys;
+mod settings;
+
+pub use keys::Error;
+pub use settings::{Config, Resources, SERVICE, Settings};
--- /dev/null
+++ b/src/config/settings.rs
@@ -0,0 +1,226 @@
+//! What the platform tells a dispatcher: `ROUTER_NAME`, `ROUTER_LISTEN` and the file named by `ROUTER_CONFIG`.
+
+use super::keys::{Error, Key};
+use crate::api::{self, Class, Effect, KeyScope, ReportField, WorkerId};
+use crate::names::{Executor, State, Vocabulary};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// The name under which the whole list is asked for.
+pub const SERVICE: &str = "_back._tcp.pool.lan";
+
+/// What the process may use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Resources {
+    /// Memory, in bytes.
+    pub memory: usize,
+    /// Descriptors.
+    pub sockets: usize,
+}
+
+/// The settings: the module's, and what only the program needs.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// What the module is told.
+    pub module: api::Settings,
+    /// The classes' names.
+    pub classes: Vec<String>,
+    /// The tenants' names.
+    pub tenants: Vec<String>,
+    /// The names of zones and kinds.
+    pub vocabulary: Vocabulary,
+    /// Requests open on a connection to an executor.
+    pub streams_per_conn: usize,
+    /// How long a connection may take to come up.
+    pub connect_timeout: u64,
+    /// Executors close a connection idle for this long.
+    pub keepalive: u64,
+    /// Requests that may be held open.
+    pub max_open: usize,
+    /// How long an order to load is waited for.
+    pub load_wait: u64,
+    /// Answers tell what they found.
+    pub tells_warm: bool,
+    /// Answers tell how many requests were held.
+    pub tells_crowd: bool,
+}
+
+/// Everything that a dispatcher is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// What it may use.
+    pub resources: Resources,
+    /// The name service.
+    pub names: SocketAddr,
+    /// The list of executors at the start, and the number of the last event in it.
+    pub known: (u64, Vec<Executor>),
+    /// The settings.
+    pub settings: Settings,
+}
+
+impl Config {
+    /// Reads the environment and the file that it names.
+    pub fn from_environment() -> Result<Config, Error> {
+        let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+        let fault = |key: &str, why: String| Error { key: key.to_string(), why };
+        let path = var("ROUTER_CONFIG")
+            .ok_or_else(|| fault("ROUTER_CONFIG", "the environment must name the file".to_string()))?;
+        let text =
+            std::fs::read_to_string(&path).map_err(|e| fault("ROUTER_CONFIG", format!("{path}: {e}")))?;
+        let mut config = Config::read(&text)?;
+        if let Some(name) = var("ROUTER_NAME") {
+            config.name = name;
+        }
+        if let Some(listen) = var("ROUTER_LISTEN") {
+            config.listen = listen
+                .parse()
+                .map_err(|_| fault("ROUTER_LISTEN", "an address and port is wanted".to_string()))?;
+        }
+        Ok(config)
+    }
+
+    /// Reads the text of a configuration file.
+    pub fn read(text: &str) -> Result<Config, Error> {
+        let value: Value = serde_json::from_str(text)
+            .map_err(|e| Error { key: "(the whole file)".to_string(), why: format!("is not JSON: {e}") })?;
+        let top = Key::top(&value);
+        let limits = top.get("limits");
+        let seed = top.get("seed");
+        let settings = settings(&top.get("settings"))?;
+        Ok(Config {
+            name: top.get("name").text_or("dispatcher")?,
+            listen: top.get("listen").address()?,
+            seed: u64::from_str_radix(&seed.text_or("0")?, 16)
+                .map_err(|_| seed.error("hex digits, 16 at most, are wanted"))?,
+            resources: Resources {
+                memory: limits.get("memory_mb").between(16, 1 << 20, 192)? as usize * (1 << 20),
+                sockets: limits.get("sockets").between(32, 1 << 20, 1024)? as usize,
+            },
+            names: top.get("names").address()?,
+            known: known(&top.get("known"))?,
+            settings,
+        })
+    }
+}
+
+/// Events of the start, in order: the first holds the whole list, later ones what has changed.
+fn known(key: &Key) -> Result<(u64, Vec<Executor>), Error> {
+    let mut list = BTreeMap::<WorkerId, Executor>::new();
+    for event in key.get("batch").entries()? {
+        let topology = event.get("topology");
+        if topology.get("reset").flag_or(false)? {
+            list.clear();
+        }
+        for entry in topology.get("instances").entries()? {
+            let id: WorkerId = entry.get("instanceId").text()?.into();
+            let states = ["in_service", "terminating", "terminated"];
+            let state = match entry.get("lifecycle").word(&states)? {
+                0 => State::Ready,
+                1 => State::Draining,
+                _ => {
+                    list.remove(&id);
+                    continue;
+                }
+            };
+            let executor = Executor {
+                id: id.clone(),
+                address: entry.get("hostPort").address()?,
+                zone: entry.get("zone").text_or("")?,
+                kind: entry.get("machineType").text_or("")?,
+                cell: entry.get("cell").whole_or(0)? as usize,
+                state,
+                started_ms: entry.get("startedAtMs").whole_or(0)?,
+            };
+            list.insert(id, executor);
+        }
+    }
+    Ok((key.get("offset").whole_or(0)?, list.into_values().collect()))
+}
+
+fn names(key: &Key) -> Result<Vec<String>, Error> {
+    key.entries()?.iter().map(|k| k.text().map(str::to_string)).collect()
+}
+
+fn settings(key: &Key) -> Result<Settings, Error> {
+    let lanes = key.get("lanes").entries()?;
+    if lanes.is_empty() {
+        return Err(key.get("lanes").error("at least one class is wanted"));
+    }
+    let orgs = key.get("orgs").entries()?;
+    let (limits, rules, info) = (key.get("limits"), key.get("rules"), key.get("family_info"));
+    let costs = key.get("costs");
+    let retry_after = limits.get("max_retry_after_us").whole_or(0)?;
+    let reported = names(&key.get("report").get("fields"))?;
+    let module = api::Settings {
+        balancers: key.get("balancers").between(1, 1 << 20, 1)? as usize,
+        me: key.get("me").whole_or(0)? as usize,
+        my_zone: key.get("my_zone").whole_or(0)? as usize,
+        classes: lanes.iter().map(class).collect::<Result<_, _>>()?,
+        tenant_quotas: orgs.iter().map(|o| o.get("quota_per_s").number_or(0.0)).collect::<Result<_, _>>()?,
+        over_share_worth: key.get("over_share_worth").number_or(1.0)?,
+        report_fields: reported.iter().map(|f| field(f)).collect(),
+        max_attempts: limits.get("send_cap").between(1, 64, 1)? as usize,
+        may_duplicate: limits.get("may_duplicate").flag_or(false)?,
+        may_cancel: limits.get("cancel").flag_or(false)?,
+        max_retry_after: if limits.get("retry_after").flag_or(false)? { retry_after } else { 0 },
+        tick: key.get("tick_us").whole_or(1000)?,
+        cold_share: rules.get("cold_share").number_or(1.0)?,
+        warm_after: rules.get("warm_after_us").whole_or(0)?,
+        fall_multiple: rules.get("fall_multiple").number_or(2.0)?,
+        fall_window: rules.get("fall_us").whole_or(1_000_000)?,
+        orders: info.get("orders").flag_or(false)?,
+        loads_on_miss: info.get("miss_mode").text_or("load")? != "miss",
+        keep_alive: info.get("keep_alive_us").whole_or(10_000_000)?,
+        load_window: info.get("load_window_us").whole_or(0)?,
+        loads_anyway: info.get("loads_anyway").number_or(0.0)?,
+        loads_per_request: info.get("loads_per_request").number_or(0.0)?,
+        cross_zone_price: costs.get("cross_zone").number_or(0.0)?,
+        fetch_price: costs.get("origin").number_or(0.0)?,
+        memory_price: info.get("memory_price").number_or(0.0)?,
+        // The list comes by itself, from the name service.
+        list_on_request: false,
+    };
+    Ok(Settings {
+        classes: lanes.iter().map(|l| l.get("name").text().map(str::to_string)).collect::<Result<_, _>>()?,
+        tenants: orgs.iter().map(|o| o.get("name").text().map(str::to_string)).collect::<Result<_, _>>()?,
+        vocabulary: Vocabulary { zones: names(&key.get("zones"))?, kinds: names(&key.get("kinds"))? },
+        streams_per_conn: limits.get("streams_per_conn").between(1, 1 << 16, 32)? as usize,
+        connect_timeout: limits.get("connect_timeout_us").between(1_000, 60_000_000, 250_000)?,
+        keepalive: limits.get("keepalive_us").between(1_000_000, 1 << 40, 15_000_000)?,
+        max_open: limits.get("max_open").between(1, 1 << 30, 20_000)? as usize,
+        load_wait: info.get("load_wait_us").between(1, 1 << 40, 10_000_000)?,
+        tells_warm: info.get("tells_warm").flag_or(false)?,
+        tells_crowd: info.get("notes_peers_in_hand").flag_or(false)?,
+        module,
+    })
+}
+
+fn class(key: &Key) -> Result<Class, Error> {
+    let effects = [Effect::Idempotent, Effect::Deduplicated, Effect::AtMostOnce];
+    let scopes = [KeyScope::All, KeyScope::Zone, KeyScope::Cell];
+    let scope = key.get("key_scope");
+    Ok(Class {
+        aim: key.get("promise_us").whole()?,
+        deadline: key.get("deadline_us").whole()?,
+        effect: effects[key.get("effect").word(&["idempotent", "deduplicated", "at_most_once"])?],
+        key_scope: if scope.given() { scopes[scope.word(&["all", "zone", "cell"])?] } else { KeyScope::Cell },
+        repeat_window: key.get("repeat_window_us").whole_or(0)?,
+        credit: key.get("credit").number_or(1.0)?,
+        late_worth: key.get("late_worth").number_or(0.0)?,
+    })
+}
+
+fn field(name: &str) -> ReportField {
+    match name {
+        "inflight" => ReportField::Inflight,
+        "queue" => ReportField::Queue,
+        _ => ReportField::Other,
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,410 @@
+//! Requests, attempts and their outcomes: drives the decision module and knows no wire.
+//!
+//! Fronts hand in requests under a ticket; the engine asks the [`Router`] and leaves [`Command`]s. It owes one
+//! final answer for each request that it took, and settles that debt by the deadline whatever else happens.
+
+mod timers;
+
+use crate::api::{Action, Event, Found, FunctionId, Listing, Micros, Outcome, RequestId, WorkerId};
+use crate::control::Router;
+use crate::counters::{Counters, count};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::sync::Arc;
+use timers::{Due, Timers};
+
+/// Where a request came from and its answer goes: a front, a connection of it, and a number there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket {
+    /// The front.
+    pub front: u8,
+    /// Its connection.
+    pub conn: u64,
+    /// The request's number there.
+    pub seq: i64,
+}
+
+/// A request as a front hands it in.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Its class, by position in the settings.
+    pub class: usize,
+    /// Its tenant, by position in the settings.
+    pub tenant: usize,
+    /// Its function.
+    pub function: FunctionId,
+    /// Requests that one copy runs at a time.
+    pub lanes: f64,
+    /// The usual time of a load, where told.
+    pub load_time: Option<Micros>,
+    /// The time within which the final answer must be given.
+    pub time_left: Micros,
+    /// The client's id for it.
+    pub call: Arc<str>,
+    /// The client's idempotency key.
+    pub key: Option<Arc<str>>,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// A final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Final {
+    /// Served, with the executor's body.
+    Served(Vec<u8>),
+    /// Refused: a retry is harmless, after this long.
+    Refused(Micros),
+    /// Failed, and why.
+    Failed(&'static str),
+}
+
+/// One attempt: the request and the attempt's number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AttemptId {
+    /// The request.
+    pub request: RequestId,
+    /// The number, from 0.
+    pub number: usize,
+}
+
+/// What an attempt came to.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// What it found.
+    pub found: Found,
+    /// Requests for the function that the worker held, where told.
+    pub crowd: Option<u32>,
+    /// The answer's body, where it ended well.
+    pub body: Vec<u8>,
+}
+
+impl Ended {
+    /// An end that tells nothing but how.
+    pub fn bare(outcome: Outcome) -> Ended {
+        Ended { outcome, found: Found::Untold, crowd: None, body: Vec::new() }
+    }
+}
+
+/// What the engine wants done.
+#[derive(Debug)]
+pub enum Command {
+    /// Begin an attempt.
+    Send {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where to.
+        worker: WorkerId,
+        /// How long its answer is waited for.
+        wait: Micros,
+        /// The request.
+        job: Rc<Job>,
+    },
+    /// Give an attempt up.
+    Halt {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Order a load.
+    Load {
+        /// The order's number.
+        order: u64,
+        /// Where.
+        worker: WorkerId,
+        /// What.
+        function: FunctionId,
+        /// Copies to hold.
+        copies: u32,
+    },
+    /// Give the final answer.
+    Answer {
+        /// Whose.
+        ticket: Ticket,
+        /// The answer.
+        answer: Final,
+    },
+}
+
+/// What bounds the engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Attempts for a request.
+    pub attempts: usize,
+    /// How long an order to load is waited for.
+    pub load_wait: Micros,
+    /// Bytes of bodies held for requests.
+    pub held_bytes: usize,
+    /// Requests held open.
+    pub held_requests: usize,
+    /// The longest time that clients stay away when told.
+    pub retry_after: Micros,
+}
+
+struct Attempt {
+    sent: Micros,
+    open: bool,
+}
+
+struct Held {
+    ticket: Ticket,
+    job: Rc<Job>,
+    deadline: Micros,
+    /// The final answer was given, or is owed no more.
+    settled: bool,
+    attempts: Vec<Attempt>,
+}
+
+struct Order {
+    worker: WorkerId,
+    function: FunctionId,
+    sent: Micros,
+}
+
+/// Drives the module.
+pub struct Engine {
+    router: Router,
+    bounds: Bounds,
+    held: BTreeMap<RequestId, Held>,
+    tickets: BTreeMap<Ticket, RequestId>,
+    orders: BTreeMap<u64, Order>,
+    timers: Timers,
+    next: u64,
+    held_bytes: usize,
+    /// Events that actions of the module gave rise to.
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    counters: Rc<Counters>,
+    /// What is to be done, in order.
+    pub commands: VecDeque<Command>,
+}
+
+impl Engine {
+    /// An engine that holds nothing.
+    pub fn new(router: Router, bounds: Bounds, counters: Rc<Counters>) -> Engine {
+        Engine {
+            router,
+            bounds,
+            held: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            timers: Timers::default(),
+            next: 1,
+            held_bytes: 0,
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            counters,
+            commands: VecDeque::new(),
+        }
+    }
+
+    /// Requests that are owed an answer.
+    pub fn owed(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// When the next timer is due.
+    pub fn due(&self) -> Option<Micros> {
+        self.timers.due()
+    }
+
+    /// Tells the module the list of workers; who is absent is gone.
+    pub fn list(&mut self, now: Micros, entries: Vec<Listing>) {
+        self.tell(now, Event::Workers { complete: true, entries });
+    }
+
+    /// Takes a request in. From here on one final answer is owed under the ticket.
+    pub fn take(&mut self, now: Micros, ticket: Ticket, job: Job) {
+        count(&self.counters.requests_taken);
+        let id = self.next;
+        self.next += 1;
+        self.tickets.insert(ticket, id);
+        let deadline = now.saturating_add(job.time_left);
+        // Danger: bodies that wait for slow workers fill the memory limit and the process is killed. What does
+        // not fit is refused before anything ran.
+        let full = self.held_bytes + job.body.len() > self.bounds.held_bytes
+            || self.held.len() >= self.bounds.held_requests;
+        self.held_bytes += job.body.len();
+        let event = Event::Request {
+            id,
+            class: job.class,
+            tenant: job.tenant,
+            function: job.function.clone(),
+            lanes: job.lanes,
+            load_time: job.load_time,
+            time_left: job.time_left,
+        };
+        let held = Held { ticket, job: Rc::new(job), deadline, settled: false, attempts: Vec::new() };
+        self.held.insert(id, held);
+        if full {
+            self.settle(id, Final::Refused(self.bounds.retry_after));
+            return self.tidy(id);
+        }
+        self.timers.add(deadline, Due::Deadline(id));
+        self.tell(now, event);
+    }
+
+    /// The client waits no more: nothing is owed.
+    pub fn forget(&mut self, now: Micros, ticket: Ticket) {
+        let Some(id) = self.tickets.remove(&ticket) else { return };
+        count(&self.counters.requests_forgotten);
+        if let Some(held) = self.held.get_mut(&id) {
+            held.settled = true;
+        }
+        self.tell(now, Event::Abandoned { id });
+        self.tidy(id);
+    }
+
+    /// An attempt has come to its end.
+    pub fn ended(&mut self, now: Micros, id: AttemptId, ended: Ended) {
+        let c = self.counters.clone();
+        let Some(held) = self.held.get_mut(&id.request) else { return count(&c.late_answers) };
+        let Some(attempt) = held.attempts.get_mut(id.number).filter(|a| a.open) else {
+            return count(&c.late_answers);
+        };
+        attempt.open = false;
+        count(match ended.outcome {
+            Outcome::Ok => &c.ended_ok,
+            Outcome::Error | Outcome::Unknown => &c.ended_error,
+            Outcome::Full => &c.ended_full,
+            Outcome::Timeout => &c.ended_timeout,
+            Outcome::ConnectFailed => &c.ended_no_connect,
+            Outcome::Reset => &c.ended_reset,
+            Outcome::Cancelled => &c.ended_cancelled,
+            Outcome::Moot => &c.ended_moot,
+            Outcome::Miss => &c.ended_miss,
+        });
+        let latency = now.saturating_sub(attempt.sent);
+        if ended.outcome == Outcome::Ok {
+            self.settle(id.request, Final::Served(ended.body));
+        }
+        let last = self.held.get(&id.request).is_none_or(|h| h.settled);
+        let Ended { outcome, found, crowd, .. } = ended;
+        let (request, attempt) = (id.request, id.number);
+        self.tell(
+            now,
+            Event::Outcome { id: request, attempt, last, outcome, found, crowd, latency, report: vec![] },
+        );
+        self.tidy(id.request);
+    }
+
+    /// An order to load has come to its end.
+    pub fn loaded(&mut self, now: Micros, order: u64, outcome: Outcome, copies: u32) {
+        let Some(Order { worker, function, sent }) = self.orders.remove(&order) else { return };
+        self.tell(now, Event::Loaded { worker, function, outcome, latency: now - sent, copies });
+    }
+
+    /// Handles the timers that are due.
+    pub fn advance(&mut self, now: Micros) {
+        while let Some(due) = self.timers.pop(now) {
+            match due {
+                Due::Attempt(attempt) => {
+                    let open = self.held.get(&attempt.request).and_then(|h| h.attempts.get(attempt.number));
+                    if open.is_some_and(|a| a.open) {
+                        self.commands.push_back(Command::Halt { attempt });
+                        self.ended(now, attempt, Ended::bare(Outcome::Timeout));
+                    }
+                }
+                Due::Router(cookie) => self.tell(now, Event::Timer { cookie }),
+                Due::Deadline(id) => {
+                    // Danger: a request that the module holds past its time breaks the first rule.
+                    if self.held.get(&id).is_some_and(|h| !h.settled) {
+                        self.settle(id, Final::Failed("out of time"));
+                        self.tell(now, Event::Abandoned { id });
+                        self.tidy(id);
+                    }
+                }
+                Due::Order(order) => self.loaded(now, order, Outcome::Timeout, 0),
+            }
+        }
+    }
+
+    fn tell(&mut self, now: Micros, event: Event) {
+        self.events.push_back(event);
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.router.handle(now, &event, &mut actions);
+            actions.drain(..).for_each(|action| self.act(now, action));
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { id, worker, until } => self.send(now, id, worker, until),
+            Action::Refuse { id, retry_after } => {
+                self.settle(id, Final::Refused(retry_after));
+                self.tidy(id);
+            }
+            Action::Fail { id } => {
+                self.settle(id, Final::Failed("not served in time"));
+                self.tidy(id);
+            }
+            Action::Cancel { id, attempt: number } => {
+                let Some(held) = self.held.get_mut(&id) else { return };
+                let Some(attempt) = held.attempts.get_mut(number).filter(|a| a.open) else { return };
+                attempt.open = false;
+                let (latency, last) = (now - attempt.sent, held.settled);
+                count(&self.counters.ended_cancelled);
+                self.commands.push_back(Command::Halt { attempt: AttemptId { request: id, number } });
+                self.outcome(id, number, last, Outcome::Cancelled, latency);
+                self.tidy(id);
+            }
+            Action::Load { worker, function, copies } => {
+                let order = self.next;
+                self.next += 1;
+                let (w, f) = (worker.clone(), function.clone());
+                self.orders.insert(order, Order { worker: w, function: f, sent: now });
+                self.timers.add(now + self.bounds.load_wait, Due::Order(order));
+                self.commands.push_back(Command::Load { order, worker, function, copies });
+            }
+            Action::Timer { at, cookie } => self.timers.add(at, Due::Router(cookie)),
+            // The list of workers comes by itself.
+            Action::Watch => {}
+        }
+    }
+
+    fn outcome(&mut self, id: RequestId, attempt: usize, last: bool, outcome: Outcome, latency: Micros) {
+        let (found, crowd, report) = (Found::Untold, None, vec![]);
+        self.events.push_back(Event::Outcome { id, attempt, last, outcome, found, crowd, latency, report });
+    }
+
+    fn send(&mut self, now: Micros, id: RequestId, worker: WorkerId, until: Option<Micros>) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let number = held.attempts.len();
+        let until = until.unwrap_or(held.deadline).min(held.deadline);
+        let legal = !held.settled && number < self.bounds.attempts && until > now;
+        held.attempts.push(Attempt { sent: now, open: legal });
+        if !legal {
+            let last = held.settled;
+            count(&self.counters.ended_moot);
+            return self.outcome(id, number, last, Outcome::Moot, 0);
+        }
+        count(&self.counters.attempts_sent);
+        let attempt = AttemptId { request: id, number };
+        let job = held.job.clone();
+        self.timers.add(until, Due::Attempt(attempt));
+        self.commands.push_back(Command::Send { attempt, worker, wait: until - now, job });
+    }
+
+    /// Gives the final answer, unless it was given or is owed no more.
+    fn settle(&mut self, id: RequestId, answer: Final) {
+        let Some(held) = self.held.get_mut(&id).filter(|h| !h.settled) else { return };
+        held.settled = true;
+        count(match answer {
+            Final::Served(_) => &self.counters.answers_served,
+            Final::Refused(_) => &self.counters.answers_refused,
+            Final::Failed(_) => &self.counters.answers_failed,
+        });
+        self.tickets.remove(&held.ticket);
+        self.commands.push_back(Command::Answer { ticket: held.ticket, answer });
+    }
+
+    /// Drops a request once nothing is owed and nothing is out.
+    fn tidy(&mut self, id: RequestId) {
+        if self.held.get(&id).is_some_and(|h| h.settled && h.attempts.iter().all(|a| !a.open)) {
+            let held = self.held.remove(&id);
+            self.held_bytes -= held.map_or(0, |h| h.job.body.len());
+        }
+    }
+}
--- /dev/null
+++ b/src/counters/mod.rs
@@ -0,0 +1,76 @@
+//! Counts of what is taken in, sent and answered; printed on SIGUSR1 and at exit.
+
+use std::cell::Cell;
+use std::fmt;
+
+macro_rules! counters {
+    ($($name:ident: $text:literal,)*) => {
+        /// One cell a count. Everything runs on one thread, so that all parts share one of these.
+        #[derive(Default)]
+        pub struct Counters { $(#[doc = $text] pub $name: Cell<u64>,)* }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("counters")?;
+                $(write!(f, " {}={}", stringify!($name), self.$name.get())?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    clients_accepted: "Connections accepted from clients.",
+    clients_closed: "Connections of clients that ended.",
+    clients_evicted: "Idle connections of clients closed for want of room.",
+    clients_malformed: "Connections of clients closed for nonsense.",
+    accepts_paused: "Times that accepting stopped for want of descriptors.",
+    requests_taken: "Requests taken in.",
+    requests_invalid: "Requests with unusable fields, answered as failed.",
+    requests_forgotten: "Requests that their client gave up.",
+    answers_served: "Final answers: served.",
+    answers_refused: "Final answers: refused.",
+    answers_failed: "Final answers: failed.",
+    answers_lost: "Final answers whose client had gone.",
+    health_checks: "Health checks answered.",
+    attempts_sent: "Attempts sent to executors.",
+    attempts_withdrawn: "Attempts taken back before their first byte was sent.",
+    attempts_cancelled: "Attempts given up by a halt.",
+    ended_ok: "Attempts that ended ok.",
+    ended_error: "Attempts that ended in an error.",
+    ended_full: "Attempts that found the executor full.",
+    ended_miss: "Attempts that missed.",
+    ended_timeout: "Attempts that timed out.",
+    ended_no_connect: "Attempts that found no connection.",
+    ended_reset: "Attempts whose connection broke.",
+    ended_moot: "Attempts that were never sent or came too late.",
+    ended_cancelled: "Attempts withdrawn.",
+    late_answers: "Answers of executors that nothing waited for.",
+    executors_malformed: "Connections to executors closed for nonsense.",
+    executor_connects: "Connections begun to executors.",
+    executor_connects_failed: "Connections to executors that never came up.",
+    executor_idle_closed: "Idle connections to executors closed.",
+    loads_ordered: "Orders to load.",
+    unloads_ordered: "Orders to unload.",
+    dns_queries: "Queries sent to the name service.",
+    dns_answers: "Answers of the name service used.",
+    dns_dropped: "Packets of the name service dropped.",
+    lists_applied: "Lists of executors told to the module.",
+    mqtt_connects: "Connections begun to the MQTT broker.",
+    mqtt_messages: "MQTT messages received.",
+    mqtt_duplicates: "MQTT messages that had been answered before.",
+    mqtt_answers: "Final answers published over MQTT.",
+    mqtt_acknowledged: "MQTT messages acknowledged.",
+    mqtt_malformed: "MQTT connections closed for nonsense.",
+    loop_lag_most_us: "The longest turn of the loop, in microseconds.",
+}
+
+/// Adds one.
+pub fn count(cell: &Cell<u64>) {
+    cell.set(cell.get() + 1);
+}
+
+/// Keeps the larger.
+pub fn most(cell: &Cell<u64>, value: u64) {
+    cell.set(cell.get().max(value));
+}
--- /dev/null
+++ b/src/executor/pool.rs
@@ -0,0 +1,358 @@
+//! The connections to all executors: which one a request goes out on, and how its attempt ends.
+
+use super::line::{self, Answer};
+use super::peer::{Entry, MOST_LINE, MOST_UNSENT, Peer, Purpose};
+use crate::api::{Found, FunctionId, Outcome, WorkerId};
+use crate::core::{AttemptId, Ended, Job};
+use crate::counters::{Counters, count};
+use crate::names::{Executor, State};
+use crate::net::{Closed, Link, Poll, Ready};
+use slab::Slab;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A connection idle for longer than the executors' limit less this is not used: they may be closing it.
+const IDLE_MARGIN: u64 = 1_000_000;
+/// A connection on which something was sent this long ago, and nothing heard since, gets nothing new: its machine
+/// may have vanished, which only a new connection shows.
+const SILENT: u64 = 1_500_000;
+/// Entries given up whose answers may still cross the halt; a connection with more of them is used up.
+const MOST_HALTED: usize = 4_096;
+
+/// What bounds the pool.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Connections at a time.
+    pub connections: usize,
+    /// Requests open on a connection.
+    pub streams: usize,
+    /// How long a connection may take to come up.
+    pub connect_timeout: u64,
+    /// Executors close a connection idle for this long.
+    pub keepalive: u64,
+    /// The names of the classes, by position.
+    pub classes: Vec<String>,
+    /// Answers tell what they found.
+    pub tells_warm: bool,
+    /// Answers tell how many requests were held.
+    pub tells_crowd: bool,
+}
+
+/// What came of something sent.
+#[derive(Debug)]
+pub enum Report {
+    /// An attempt has ended.
+    Attempt(AttemptId, Ended),
+    /// An order to load has ended, with so many copies standing.
+    Order(u64, Outcome, u32),
+}
+
+/// The connections to all executors.
+pub struct Pool {
+    owner: u8,
+    limits: Limits,
+    listed: BTreeMap<WorkerId, (SocketAddr, State)>,
+    links: Slab<Link<Peer>>,
+    attempts: BTreeMap<AttemptId, (usize, String)>,
+    answers: Vec<Answer>,
+    counters: Rc<Counters>,
+    /// What has come to its end, in order.
+    pub reports: Vec<Report>,
+}
+
+impl Pool {
+    /// A pool without connections.
+    pub fn new(owner: u8, limits: Limits, counters: Rc<Counters>) -> Pool {
+        Pool {
+            owner,
+            limits,
+            listed: BTreeMap::new(),
+            links: Slab::new(),
+            attempts: BTreeMap::new(),
+            answers: Vec::new(),
+            counters,
+            reports: Vec::new(),
+        }
+    }
+
+    /// Takes the whole list. What is still queued for an executor that drains or is gone is withdrawn.
+    pub fn list(&mut self, executors: &[Executor]) {
+        let new = executors.iter().map(|e| (e.id.clone(), (e.address, e.state))).collect();
+        let old = std::mem::replace(&mut self.listed, new);
+        let slots: Vec<usize> = self.links.iter().map(|(slot, _)| slot).collect();
+        for slot in slots {
+            let worker = self.links[slot].peer.worker.clone();
+            match self.listed.get(&worker) {
+                Some((address, State::Ready)) if old.get(&worker).is_none_or(|(a, _)| a == address) => {}
+                // Danger: a line queued on a connecting or blocked socket would go out after the drain was told.
+                _ => self.withdraw(slot),
+            }
+        }
+    }
+
+    /// Takes back what has not begun to go out on a connection, and lets nothing new on it.
+    fn withdraw(&mut self, slot: usize) {
+        let link = &mut self.links[slot];
+        link.peer.closing = true;
+        let written = if link.io.connecting() { 0 } else { link.io.written };
+        let begun = |e: &Entry| e.begins < written;
+        // A line that has begun goes out whole: half of one would make nonsense of the connection.
+        let keep = link.peer.open.values().filter(|e| begun(e)).map(|e| e.ends).max().unwrap_or(0);
+        link.io.unqueue_after(keep);
+        let unsent: Vec<(String, Entry)> =
+            link.peer.open.iter().filter(|(_, e)| !begun(e)).map(|(r, e)| (r.clone(), *e)).collect();
+        for (rid, entry) in unsent {
+            self.links[slot].peer.open.remove(&rid);
+            count(&self.counters.attempts_withdrawn);
+            self.over(entry.purpose, Outcome::Moot);
+        }
+        self.close_if_idle(slot);
+    }
+
+    /// Sends an attempt.
+    pub fn send(
+        &mut self,
+        poll: &mut Poll,
+        now: u64,
+        id: AttemptId,
+        worker: &WorkerId,
+        wait: u64,
+        job: &Job,
+    ) {
+        let Some(class) = self.limits.classes.get(job.class) else {
+            return self.end(id, Outcome::Moot);
+        };
+        let line = line::go(&job.call, class, &job.function, wait, job.key.as_deref(), &job.body);
+        match self.queue(poll, now, worker, &job.call, Purpose::Attempt(id), &line) {
+            Ok(slot) => {
+                self.attempts.insert(id, (slot, job.call.to_string()));
+                self.push(poll, now, slot);
+            }
+            Err(outcome) => self.end(id, outcome),
+        }
+    }
+
+    /// Orders a load.
+    pub fn load(
+        &mut self,
+        poll: &mut Poll,
+        now: u64,
+        order: u64,
+        worker: &WorkerId,
+        function: &FunctionId,
+        copies: u32,
+    ) {
+        let tag = format!("L{order}");
+        let line = line::stage(&tag, function, copies);
+        match self.queue(poll, now, worker, &tag, Purpose::Order(order), &line) {
+            Ok(slot) => {
+                count(&self.counters.loads_ordered);
+                self.push(poll, now, slot);
+            }
+            Err(outcome) => self.reports.push(Report::Order(order, outcome, 0)),
+        }
+    }
+
+    /// Gives an attempt up: its answer is waited for no more.
+    pub fn halt(&mut self, poll: &Poll, now: u64, id: AttemptId) {
+        let Some((slot, rid)) = self.attempts.remove(&id) else { return };
+        let Some(link) = self.links.get_mut(slot) else { return };
+        let Some(entry) = link.peer.open.get_mut(&rid) else { return };
+        count(&self.counters.attempts_cancelled);
+        entry.purpose = Purpose::Halted;
+        entry.at = now;
+        // What does not fit is left out: a halt only spares work.
+        let _ = link.io.queue(&line::halt(&rid));
+        self.push(poll, now, slot);
+    }
+
+    /// Puts a line on a connection to the executor, on a new one if need be.
+    fn queue(
+        &mut self,
+        poll: &mut Poll,
+        now: u64,
+        worker: &WorkerId,
+        rid: &str,
+        purpose: Purpose,
+        line: &[u8],
+    ) -> Result<usize, Outcome> {
+        let Some((address, State::Ready)) = self.listed.get(worker).copied() else {
+            return Err(Outcome::Moot);
+        };
+        let limits = &self.limits;
+        let usable = |link: &Link<Peer>| {
+            let peer = &link.peer;
+            !peer.closing
+                && peer.awaiting() < limits.streams
+                && !peer.open.contains_key(rid)
+                && (!peer.open.is_empty() || now < peer.used + limits.keepalive.saturating_sub(IDLE_MARGIN))
+                && peer.unheard.is_none_or(|since| now < since + SILENT)
+                && link.io.unsent() + line.len() <= MOST_UNSENT
+        };
+        let found = (self.links.iter())
+            .filter(|(_, link)| link.peer.worker == *worker && usable(link))
+            .min_by_key(|(_, link)| (link.io.connecting(), link.io.unsent()))
+            .map(|(slot, _)| slot);
+        let slot = match found {
+            Some(slot) => slot,
+            None => self.connect(poll, now, worker, address)?,
+        };
+        let link = &mut self.links[slot];
+        let begins = link.io.queued;
+        if !link.io.queue(line) {
+            return Err(Outcome::Moot);
+        }
+        let entry = Entry { purpose, begins, ends: link.io.queued, at: now };
+        link.peer.open.insert(rid.to_string(), entry);
+        link.peer.unheard.get_or_insert(now);
+        Ok(slot)
+    }
+
+    fn connect(
+        &mut self,
+        poll: &mut Poll,
+        now: u64,
+        worker: &WorkerId,
+        address: SocketAddr,
+    ) -> Result<usize, Outcome> {
+        if self.links.len() >= self.limits.connections {
+            // Danger: the budget of descriptors is used up. An idle connection gives way to one that is needed.
+            let idle =
+                self.links.iter().filter(|(_, l)| l.peer.awaiting() == 0).min_by_key(|(_, l)| l.peer.used);
+            let Some(slot) = idle.map(|(slot, _)| slot) else { return Err(Outcome::ConnectFailed) };
+            self.close(slot, Closed::Broken);
+        }
+        count(&self.counters.executor_connects);
+        let entry = self.links.vacant_entry();
+        let token = poll.token(self.owner, entry.key());
+        let peer = Peer::new(worker.clone(), now);
+        match Link::connect(poll, address, token, peer, (MOST_LINE, MOST_UNSENT)) {
+            Ok(link) => Ok(entry.insert(link).io.token().slot as usize),
+            Err(_) => {
+                count(&self.counters.executor_connects_failed);
+                Err(Outcome::ConnectFailed)
+            }
+        }
+    }
+
+    fn push(&mut self, poll: &Poll, now: u64, slot: usize) {
+        let Some(link) = self.links.get_mut(slot) else { return };
+        link.peer.used = now;
+        if let Err(why) = link.flush(poll) {
+            self.close(slot, why);
+        }
+    }
+
+    /// Handles what happened to a connection.
+    pub fn ready(&mut self, poll: &mut Poll, now: u64, ready: Ready) {
+        let slot = ready.token.slot as usize;
+        let Some(link) = self.links.get_mut(slot).filter(|l| l.io.token() == ready.token) else { return };
+        let mut answers = std::mem::take(&mut self.answers);
+        let result = link.ready(poll, ready, &mut answers);
+        if ready.read {
+            link.peer.unheard = None;
+        }
+        for answer in answers.drain(..) {
+            self.answer(now, slot, answer);
+        }
+        self.answers = answers;
+        match result {
+            Err(why) => self.close(slot, why),
+            Ok(()) if self.links[slot].io.ended => self.close(slot, Closed::Broken),
+            Ok(()) => self.close_if_idle(slot),
+        }
+    }
+
+    fn answer(&mut self, now: u64, slot: usize, answer: Answer) {
+        let peer = &mut self.links[slot].peer;
+        peer.used = now;
+        let Some(entry) = peer.open.remove(&answer.rid) else {
+            return count(&self.counters.late_answers);
+        };
+        let Answer { outcome, found, crowd, copies, body, .. } = answer;
+        if let Purpose::Attempt(id) = entry.purpose {
+            self.attempts.remove(&id);
+        } else if entry.purpose == Purpose::Halted {
+            count(&self.counters.late_answers);
+        }
+        let found = if self.limits.tells_warm || found == Found::LoadFailed { found } else { Found::Untold };
+        let ended = Ended { outcome, found, crowd: crowd.filter(|_| self.limits.tells_crowd), body };
+        Self::report(&mut self.reports, entry.purpose, ended, copies);
+    }
+
+    fn report(reports: &mut Vec<Report>, purpose: Purpose, ended: Ended, copies: u32) {
+        match purpose {
+            Purpose::Attempt(id) => reports.push(Report::Attempt(id, ended)),
+            Purpose::Order(order) => reports.push(Report::Order(order, ended.outcome, copies)),
+            Purpose::Halted => {}
+        }
+    }
+
+    /// Ends what got no answer.
+    fn over(&mut self, purpose: Purpose, outcome: Outcome) {
+        if let Purpose::Attempt(id) = purpose {
+            self.attempts.remove(&id);
+        }
+        Self::report(&mut self.reports, purpose, Ended::bare(outcome), 0);
+    }
+
+    fn end(&mut self, id: AttemptId, outcome: Outcome) {
+        self.reports.push(Report::Attempt(id, Ended::bare(outcome)));
+    }
+
+    /// Drops a connection and ends what was open on it.
+    fn close(&mut self, slot: usize, why: Closed) {
+        let Some(link) = self.links.try_remove(slot) else { return };
+        match why {
+            Closed::NoConnect => count(&self.counters.executor_connects_failed),
+            Closed::Malformed(_) => count(&self.counters.executors_malformed),
+            Closed::Broken => {}
+        }
+        let written = if link.io.connecting() { 0 } else { link.io.written };
+        for entry in link.peer.open.into_values() {
+            // A line that did not go out whole proves that nothing ran; a whole one may have run.
+            let outcome = if entry.ends > written { Outcome::ConnectFailed } else { Outcome::Reset };
+            self.over(entry.purpose, outcome);
+        }
+    }
+
+    /// Closes a connection that takes nothing new once nothing is awaited on it.
+    fn close_if_idle(&mut self, slot: usize) {
+        let done = |l: &Link<Peer>| l.peer.closing && l.peer.awaiting() == 0 && l.io.unsent() == 0;
+        if self.links.get(slot).is_some_and(done) {
+            self.close(slot, Closed::Broken);
+        }
+    }
+
+    /// Ends what has waited too long: connections that do not come up, and idle ones before the executors do.
+    pub fn advance(&mut self, now: u64) {
+        let idle = self.limits.keepalive.saturating_sub(IDLE_MARGIN);
+        let connect = self.limits.connect_timeout;
+        let mut over = Vec::new();
+        for (slot, link) in &mut self.links {
+            let peer = &mut link.peer;
+            peer.open.retain(|_, e| e.purpose != Purpose::Halted || now < e.at + idle);
+            if link.io.connecting() && now >= peer.begun + connect {
+                over.push((slot, Closed::NoConnect));
+            } else if peer.awaiting() == 0 && now >= peer.used + idle {
+                count(&self.counters.executor_idle_closed);
+                over.push((slot, Closed::Broken));
+            } else if peer.open.len() - peer.awaiting() > MOST_HALTED {
+                peer.closing = true;
+            }
+        }
+        over.into_iter().for_each(|(slot, why)| self.close(slot, why));
+    }
+
+    /// When `advance` next has something to do.
+    pub fn due(&self) -> Option<u64> {
+        let idle = self.limits.keepalive.saturating_sub(IDLE_MARGIN);
+        let of = |(_, l): (usize, &Link<Peer>)| match (l.io.connecting(), l.peer.awaiting()) {
+            (true, _) => l.peer.begun + self.limits.connect_timeout,
+            (false, 0) => l.peer.used + idle,
+            (false, _) => u64::MAX,
+        };
+        self.links.iter().map(of).min()
+    }
+}
--- /dev/null
+++ b/src/front/info.rs
@@ -0,0 +1,146 @@
+//! The fields of a request, which both fronts carry under the same names, read into what the core takes.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Arc;
+
+/// Fields by name.
+pub type Fields = BTreeMap<String, String>;
+
+/// Names a field that can't be used, and says why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Invalid {
+    /// The field.
+    pub field: &'static str,
+    /// What is wrong with it.
+    pub why: &'static str,
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "field '{}': {}", self.field, self.why)
+    }
+}
+
+/// The figures of a request as its fields tell them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sketch {
+    /// The name of its class.
+    pub class: String,
+    /// The client's id for it.
+    pub call: Arc<str>,
+    /// How long the client waits, in microseconds from when it sent.
+    pub ttl_us: u64,
+    /// The name of its tenant, where given.
+    pub tenant: Option<String>,
+    /// The client's idempotency key.
+    pub key: Option<Arc<str>>,
+    /// The function.
+    pub function: Arc<str>,
+    /// Requests that one copy runs at a time.
+    pub lanes: f64,
+    /// The usual time of a load.
+    pub load_us: Option<u64>,
+}
+
+/// The longest time that a client may say it waits, in milliseconds.
+const MOST_TTL: f64 = 600_000.0;
+
+fn hex(text: &str, least: usize, most: usize) -> bool {
+    (least..=most).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_hexdigit())
+}
+
+fn number(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
+}
+
+impl Sketch {
+    /// Reads the fields; the first that can't be used is named.
+    pub fn read(fields: &Fields) -> Result<Sketch, Invalid> {
+        let want = |field: &'static str| {
+            fields.get(field).map(String::as_str).ok_or(Invalid { field, why: "is missing" })
+        };
+        let call = want("call")?;
+        if !hex(call, 16, 16) {
+            return Err(Invalid { field: "call", why: "must be 16 hex digits" });
+        }
+        let row = want("row")?;
+        if !hex(row, 16, 16) {
+            return Err(Invalid { field: "row", why: "must be 16 hex digits" });
+        }
+        let ttl = number(want("ttl")?).filter(|ms| *ms <= MOST_TTL);
+        let ttl = ttl.ok_or(Invalid { field: "ttl", why: "must be milliseconds, 600000 at most" })?;
+        let key = fields.get("dedupe").map(String::as_str);
+        if key.is_some_and(|k| !hex(k, 1, 64)) {
+            return Err(Invalid { field: "dedupe", why: "must be hex digits, 64 at most" });
+        }
+        let (mut lanes, mut load_us) = (1.0, None);
+        for part in fields.get("info").map_or("", String::as_str).split(';').filter(|p| !p.is_empty()) {
+            let figure =
+                |v: &str| number(v).ok_or(Invalid { field: "info", why: "holds a figure that is none" });
+            match part.split_once(':') {
+                Some(("lanes", v)) => lanes = figure(v)?,
+                Some(("load_ms", v)) => load_us = Some((figure(v)? * 1000.0) as u64).filter(|l| *l > 0),
+                Some(_) => {}
+                None => return Err(Invalid { field: "info", why: "must be name:figure pairs" }),
+            }
+        }
+        Ok(Sketch {
+            class: want("op")?.to_string(),
+            call: call.into(),
+            ttl_us: (ttl * 1000.0) as u64,
+            tenant: fields.get("org").cloned(),
+            key: key.map(Arc::from),
+            function: row.into(),
+            lanes,
+            load_us,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fields(change: &[(&str, Option<&str>)]) -> Fields {
+        let mut fields: Fields = [
+            ("op", "call"),
+            ("call", "9b1f03aa5c7e2d41"),
+            ("ttl", "1500"),
+            ("row", "7f3a9c21e0b4d655"),
+            ("info", "memory_mb:512;lanes:2;load_ms:640"),
+        ]
+        .map(|(k, v)| (k.to_string(), v.to_string()))
+        .into();
+        for (name, value) in change {
+            match value {
+                Some(value) => fields.insert(name.to_string(), value.to_string()),
+                None => fields.remove(*name),
+            };
+        }
+        fields
+    }
+
+    #[test]
+    fn good_fields_are_read() {
+        let sketch = Sketch::read(&fields(&[])).expect("good");
+        assert_eq!((sketch.ttl_us, sketch.lanes, sketch.load_us), (1_500_000, 2.0, Some(640_000)));
+    }
+
+    #[test]
+    fn each_unusable_field_is_named() {
+        let bad = [
+            ("op", None),
+            ("call", Some("xyz")),
+            ("ttl", Some("soon")),
+            ("ttl", Some("-1")),
+            ("row", Some("7f")),
+            ("dedupe", Some("no hex")),
+            ("info", Some("lanes=2")),
+            ("info", Some("lanes:NaN")),
+        ];
+        for (name, value) in bad {
+            assert_eq!(Sketch::read(&fields(&[(name, value)])).expect_err(name).field, name);
+        }
+    }
+}
--- /dev/null
+++ b/src/front/thrift/front.rs
@@ -0,0 +1,353 @@
+//! The listener, its connections, and what is open on each.
+
+use super::wire::{self, Call};
+use crate::core::{Final, Ticket};
+use crate::counters::{Counters, count};
+use crate::front::Sketch;
+use crate::net::{Accepted, Callbacks, Closed, Link, Listener, Malformed, Poll, Ready, Ring};
+use slab::Slab;
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Requests that may be open on a connection.
+const MOST_OPEN: usize = 32;
+/// Bytes of answers that may wait for a client; beyond, it is not read from.
+const MUCH_UNSENT: usize = 256 * 1024;
+/// Bytes of answers after which its connection is closed.
+const MOST_UNSENT: usize = 2 * 1024 * 1024;
+/// A client that takes no answer, or leaves a message half sent, for this long is closed.
+const STALLED: u64 = 10_000_000;
+/// A connection with nothing open on it is closed after this long.
+const IDLE: u64 = 60_000_000;
+/// After running out of descriptors accepting stops for this long.
+const PAUSE: u64 = 50_000;
+/// How often connections are looked through for those that stalled.
+const SWEEP: u64 = 1_000_000;
+
+/// What bounds the front.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections at a time.
+    pub connections: usize,
+    /// Bytes of answers that may wait in all connections together.
+    pub unsent: usize,
+}
+
+/// What clients ask.
+#[derive(Debug)]
+pub enum Intake {
+    /// A request whose figures are usable, and its body.
+    Serve(Ticket, Sketch, Vec<u8>),
+    /// The client waits for this no more.
+    Forget(Ticket),
+}
+
+struct Client {
+    open: BTreeSet<i32>,
+    used: u64,
+    blocked: bool,
+}
+
+impl Callbacks for Client {
+    type Out = Vec<Call>;
+
+    fn received(&mut self, input: &mut Ring, out: &mut Vec<Call>) -> Result<(), Malformed> {
+        let bytes = input.contiguous();
+        let mut done = 0;
+        while let Some(size) = wire::frame(&bytes[done..])? {
+            out.push(wire::read(&bytes[done + 4..done + size])?);
+            done += size;
+        }
+        input.consume(done);
+        Ok(())
+    }
+
+    fn wants_more(&self) -> bool {
+        !self.blocked
+    }
+}
+
+/// The front.
+pub struct Front {
+    id: u8,
+    listener: Option<Listener>,
+    limits: Limits,
+    links: Slab<Link<Client>>,
+    unsent: usize,
+    paused_until: Option<u64>,
+    next_sweep: u64,
+    calls: Vec<Call>,
+    counters: Rc<Counters>,
+    /// Whether health checks are answered well.
+    pub well: bool,
+    /// What clients asked, in order.
+    pub intake: Vec<Intake>,
+}
+
+impl Front {
+    /// Listens on the address.
+    pub fn new(
+        poll: &mut Poll,
+        id: u8,
+        address: SocketAddr,
+        limits: Limits,
+        counters: Rc<Counters>,
+    ) -> io::Result<Front> {
+        Ok(Front {
+            id,
+            listener: Some(Listener::bind(poll, id, address)?),
+            limits,
+            links: Slab::new(),
+            unsent: 0,
+            paused_until: None,
+            next_sweep: 0,
+            calls: Vec::new(),
+            counters,
+            well: true,
+            intake: Vec::new(),
+        })
+    }
+
+    /// The address it listens on.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.listener.as_ref().and_then(|l| l.address().ok())
+    }
+
+    /// Accepts no more.
+    pub fn stop_listening(&mut self) {
+        self.listener = None;
+    }
+
+    /// Whether answers wait to be taken.
+    pub fn unsent(&self) -> bool {
+        self.links.iter().any(|(_, l)| l.io.unsent() > 0)
+    }
+
+    fn ticket(&self, slot: usize, seq: i32) -> Ticket {
+        let serial = self.links.get(slot).map_or(0, |l| l.io.token().serial);
+        Ticket { front: self.id, conn: (slot as u64) << 32 | u64::from(serial), seq: i64::from(seq) }
+    }
+
+    /// Handles what happened to a descriptor of this front.
+    pub fn ready(&mut self, poll: &mut Poll, now: u64, ready: Ready) {
+        if self.listener.as_ref().is_some_and(|l| l.is(ready.token)) {
+            return self.accept(poll, now);
+        }
+        let slot = ready.token.slot as usize;
+        let Some(link) = self.links.get_mut(slot).filter(|l| l.io.token() == ready.token) else { return };
+        let before = link.io.unsent();
+        let mut calls = std::mem::take(&mut self.calls);
+        let mut result = link.ready(poll, ready, &mut calls);
+        // Answers leave while the client reads: only so is it known to be alive.
+        if link.io.unsent() < before {
+            link.peer.used = now;
+        }
+        self.unsent = self.unsent + link.io.unsent() - before;
+        for call in calls.drain(..) {
+            if let Err(m) = self.call(now, slot, call) {
+                result = Err(Closed::Malformed(m.0));
+            }
+        }
+        self.calls = calls;
+        match result {
+            Err(why) => self.close(slot, why),
+            Ok(()) => self.flush(poll, slot),
+        }
+    }
+
+    fn accept(&mut self, poll: &mut Poll, now: u64) {
+        loop {
+            if self.links.len() >= self.limits.connections && !self.evict() {
+                return self.pause(poll, now);
+            }
+            let Some(listener) = &self.listener else { return };
+            match listener.accept() {
+                Accepted::One(fd) => {
+                    let entry = self.links.vacant_entry();
+                    let token = poll.token(self.id, entry.key());
+                    let client = Client { open: BTreeSet::new(), used: now, blocked: false };
+                    let limits = (wire::MOST_FRAME * 2, MOST_UNSENT);
+                    if let Ok(link) = Link::accepted(poll, fd, token, client, limits) {
+                        count(&self.counters.clients_accepted);
+                        entry.insert(link);
+                    }
+                }
+                Accepted::None => return,
+                Accepted::OutOfDescriptors if self.evict() => {}
+                Accepted::OutOfDescriptors => return self.pause(poll, now),
+            }
+        }
+    }
+
+    /// Danger: with no descriptor left, the listener stays readable and the loop would spin on it.
+    fn pause(&mut self, poll: &Poll, now: u64) {
+        count(&self.counters.accepts_paused);
+        self.paused_until = Some(now + PAUSE);
+        if let Some(listener) = &mut self.listener {
+            listener.listen(poll, false);
+        }
+    }
+
+    /// Closes the connection that has been idle longest, if one has nothing open.
+    fn evict(&mut self) -> bool {
+        let idle = |l: &Link<Client>| l.peer.open.is_empty() && l.io.unsent() == 0 && l.io.unread() == 0;
+        let oldest = self.links.iter().filter(|(_, l)| idle(l)).min_by_key(|(_, l)| l.peer.used);
+        let Some(slot) = oldest.map(|(slot, _)| slot) else { return false };
+        count(&self.counters.clients_evicted);
+        self.close(slot, Closed::Broken);
+        true
+    }
+
+    fn call(&mut self, now: u64, slot: usize, call: Call) -> Result<(), Malformed> {
+        let Some(link) = self.links.get_mut(slot) else { return Ok(()) };
+        link.peer.used = now;
+        match call {
+            Call::Serve { seq, fields, body } => {
+                // Danger: two answers under one number could not be told apart.
+                if link.peer.open.contains(&seq) {
+                    return Err(Malformed("a sequence number that is still open"));
+                }
+                if link.peer.open.len() >= MOST_OPEN {
+                    let text = "too many requests open on this connection";
+                    count(&self.counters.requests_invalid);
+                    self.queue(slot, &wire::exception("serve", seq, wire::INTERNAL_ERROR, text));
+                    return Ok(());
+                }
+                match Sketch::read(&fields) {
+                    Ok(sketch) => {
+                        link.peer.open.insert(seq);
+                        let ticket = self.ticket(slot, seq);
+                        self.intake.push(Intake::Serve(ticket, sketch, body));
+                    }
+                    Err(invalid) => {
+                        count(&self.counters.requests_invalid);
+                        let text = invalid.to_string();
+                        self.queue(slot, &wire::exception("serve", seq, wire::PROTOCOL_ERROR, &text));
+                    }
+                }
+            }
+            Call::Forget { seq } => {
+                if link.peer.open.remove(&seq) {
+                    let ticket = self.ticket(slot, seq);
+                    self.intake.push(Intake::Forget(ticket));
+                }
+            }
+            Call::IsWell { seq } => {
+                count(&self.counters.health_checks);
+                let well = self.well;
+                self.queue(slot, &wire::answer("isWell", seq, &[], well));
+            }
+            Call::Unknown { seq, method } => {
+                count(&self.counters.requests_invalid);
+                self.queue(slot, &wire::exception(&method, seq, wire::UNKNOWN_METHOD, "no such method"));
+            }
+        }
+        Ok(())
+    }
+
+    /// A request whose class or tenant the settings lack: nothing was taken in.
+    pub fn invalid(&mut self, poll: &Poll, ticket: Ticket, text: &str) {
+        count(&self.counters.requests_invalid);
+        self.reply(poll, ticket, |seq| wire::exception("serve", seq, wire::PROTOCOL_ERROR, text));
+    }
+
+    /// Writes the final answer of a request.
+    pub fn answer(&mut self, poll: &Poll, ticket: Ticket, answer: &Final) {
+        self.reply(poll, ticket, |seq| match answer {
+            Final::Served(body) => wire::answer("serve", seq, body, true),
+            Final::Refused(after) => wire::refused(seq, Some(after.div_ceil(1000))),
+            Final::Failed(why) => wire::failed(seq, why),
+        });
+    }
+
+    fn reply(&mut self, poll: &Poll, ticket: Ticket, message: impl FnOnce(i32) -> Vec<u8>) {
+        let (slot, seq) = ((ticket.conn >> 32) as usize, ticket.seq as i32);
+        let here = self.ticket(slot, seq) == ticket;
+        let Some(link) = self.links.get_mut(slot).filter(|l| here && l.peer.open.contains(&seq)) else {
+            return count(&self.counters.answers_lost);
+        };
+        link.peer.open.remove(&seq);
+        self.queue(slot, &message(seq));
+        self.flush(poll, slot);
+    }
+
+    fn queue(&mut self, slot: usize, message: &[u8]) {
+        let Some(link) = self.links.get_mut(slot) else { return };
+        if link.io.queue(message) {
+            self.unsent += message.len();
+        } else {
+            count(&self.counters.answers_lost);
+            return self.close(slot, Closed::Broken);
+        }
+        if self.unsent > self.limits.unsent {
+            // Danger: clients that take no answers fill the memory. The one that holds most goes.
+            let worst = self.links.iter().max_by_key(|(_, l)| l.io.unsent()).map(|(slot, _)| slot);
+            if let Some(worst) = worst {
+                self.close(worst, Closed::Broken);
+            }
+        }
+    }
+
+    /// Sends what can be sent; a client that takes no answers is not read from until it does.
+    fn flush(&mut self, poll: &Poll, slot: usize) {
+        let Some(link) = self.links.get_mut(slot) else { return };
+        let before = link.io.unsent();
+        link.peer.blocked = link.io.unsent() > MUCH_UNSENT;
+        let mut result = link.flush(poll);
+        if link.peer.blocked && link.io.unsent() <= MUCH_UNSENT {
+            link.peer.blocked = false;
+            result = result.and_then(|()| link.flush(poll));
+        }
+        self.unsent = self.unsent + link.io.unsent() - before;
+        let over = link.io.ended && link.peer.open.is_empty() && link.io.unsent() == 0;
+        match result {
+            Err(why) => self.close(slot, why),
+            // A client that has sent its last still gets what it asked for.
+            Ok(()) if over => self.close(slot, Closed::Broken),
+            Ok(()) => {}
+        }
+    }
+
+    fn close(&mut self, slot: usize, why: Closed) {
+        let serial = self.ticket(slot, 0);
+        let Some(link) = self.links.try_remove(slot) else { return };
+        count(&self.counters.clients_closed);
+        if matches!(why, Closed::Malformed(_)) {
+            count(&self.counters.clients_malformed);
+        }
+        self.unsent -= link.io.unsent();
+        for seq in link.peer.open {
+            self.intake.push(Intake::Forget(Ticket { seq: i64::from(seq), ..serial }));
+        }
+    }
+
+    /// Resumes accepting, and closes connections that stalled.
+    pub fn advance(&mut self, poll: &mut Poll, now: u64) {
+        if self.paused_until.is_some_and(|until| now >= until) {
+            self.paused_until = None;
+            if let Some(listener) = &mut self.listener {
+                listener.listen(poll, true);
+            }
+        }
+        if now < self.next_sweep {
+            return;
+        }
+        self.next_sweep = now + SWEEP;
+        let mut over = Vec::new();
+        for (slot, link) in &self.links {
+            let half_sent = link.io.unread() > 0 && link.peer.open.is_empty();
+            let stalled = (half_sent || link.io.unsent() > 0) && now >= link.peer.used + STALLED;
+            if stalled || (link.peer.open.is_empty() && now >= link.peer.used + IDLE) {
+                over.push(slot);
+            }
+        }
+        over.into_iter().for_each(|slot| self.close(slot, Closed::Broken));
+    }
+
+    /// When `advance` next has something to do.
+    pub fn due(&self) -> u64 {
+        self.paused_until.unwrap_or(u64::MAX).min(self.next_sweep)
+    }
+}
--- /dev/null
+++ b/src/front/thrift/wire.rs
@@ -0,0 +1,328 @@
+//! Framed Thrift, strict binary protocol: reads calls, writes replies.
+
+use crate::front::Fields;
+use crate::net::Malformed;
+
+/// The largest frame taken: a body of 16 KiB, its fields, and room to spare.
+pub const MOST_FRAME: usize = 64 * 1024;
+/// The deepest nesting of values that are skipped.
+const MOST_DEPTH: usize = 16;
+
+const STOP: u8 = 0;
+const BOOL: u8 = 2;
+const I32: u8 = 8;
+const STRING: u8 = 11;
+const STRUCT: u8 = 12;
+const MAP: u8 = 13;
+
+const CALL: u8 = 1;
+const REPLY: u8 = 2;
+const EXCEPTION: u8 = 3;
+const ONEWAY: u8 = 4;
+
+/// Application exceptions, by their public numbers.
+pub const UNKNOWN_METHOD: i32 = 1;
+/// Any failure inside.
+pub const INTERNAL_ERROR: i32 = 6;
+/// Arguments that can't be used.
+pub const PROTOCOL_ERROR: i32 = 7;
+
+/// A message from a client.
+#[derive(Debug, PartialEq)]
+pub enum Call {
+    /// A request.
+    Serve {
+        /// Its sequence number.
+        seq: i32,
+        /// Its fields.
+        fields: Fields,
+        /// Its body.
+        body: Vec<u8>,
+    },
+    /// The client stopped waiting.
+    Forget {
+        /// For this request.
+        seq: i32,
+    },
+    /// A health check.
+    IsWell {
+        /// Its sequence number.
+        seq: i32,
+    },
+    /// A method that this service lacks.
+    Unknown {
+        /// Its sequence number.
+        seq: i32,
+        /// Its name.
+        method: String,
+    },
+}
+
+struct Reader<'a> {
+    bytes: &'a [u8],
+}
+
+const SHORT: Malformed = Malformed("a message that ends early");
+
+impl<'a> Reader<'a> {
+    fn take(&mut self, count: usize) -> Result<&'a [u8], Malformed> {
+        let (head, tail) = self.bytes.split_at_checked(count).ok_or(SHORT)?;
+        self.bytes = tail;
+        Ok(head)
+    }
+
+    fn array<const N: usize>(&mut self) -> Result<[u8; N], Malformed> {
+        self.take(N)?.try_into().map_err(|_| SHORT)
+    }
+
+    fn byte(&mut self) -> Result<u8, Malformed> {
+        Ok(self.array::<1>()?[0])
+    }
+
+    fn i32(&mut self) -> Result<i32, Malformed> {
+        Ok(i32::from_be_bytes(self.array()?))
+    }
+
+    fn size(&mut self) -> Result<usize, Malformed> {
+        usize::try_from(self.i32()?).map_err(|_| Malformed("a negative length"))
+    }
+
+    fn binary(&mut self) -> Result<&'a [u8], Malformed> {
+        let size = self.size()?;
+        self.take(size)
+    }
+
+    fn string(&mut self) -> Result<String, Malformed> {
+        let text = std::str::from_utf8(self.binary()?).map_err(|_| Malformed("text that is not UTF-8"))?;
+        Ok(text.to_string())
+    }
+
+    fn strings(&mut self) -> Result<Fields, Malformed> {
+        let (key, value, size) = (self.byte()?, self.byte()?, self.size()?);
+        if size > 0 && (key, value) != (STRING, STRING) {
+            return Err(Malformed("a map of other things than text"));
+        }
+        // No room is set aside by a size that the peer merely claims.
+        let mut fields = Fields::new();
+        for _ in 0..size {
+            let key = self.string()?;
+            fields.insert(key, self.string()?);
+        }
+        Ok(fields)
+    }
+
+    /// Calls `take` with each field's type and number; it skips what it does not know.
+    fn fields(
+        &mut self,
+        mut take: impl FnMut(&mut Self, u8, i16) -> Result<(), Malformed>,
+    ) -> Result<(), Malformed> {
+        loop {
+            let kind = self.byte()?;
+            if kind == STOP {
+                return Ok(());
+            }
+            let number = i16::from_be_bytes(self.array()?);
+            take(self, kind, number)?;
+        }
+    }
+
+    fn skip(&mut self, kind: u8, depth: usize) -> Result<(), Malformed> {
+        if depth > MOST_DEPTH {
+            return Err(Malformed("values nested too deeply"));
+        }
+        match kind {
+            BOOL | 3 => self.take(1).map(drop),
+            6 => self.take(2).map(drop),
+            I32 => self.take(4).map(drop),
+            4 | 10 => self.take(8).map(drop),
+            STRING => self.binary().map(drop),
+            STRUCT => self.fields(|r, kind, _| r.skip(kind, depth + 1)),
+            MAP => {
+                let (key, value, size) = (self.byte()?, self.byte()?, self.size()?);
+                (0..size).try_for_each(|_| {
+                    self.skip(key, depth + 1)?;
+                    self.skip(value, depth + 1)
+                })
+            }
+            14 | 15 => {
+                let (kind, size) = (self.byte()?, self.size()?);
+                (0..size).try_for_each(|_| self.skip(kind, depth + 1))
+            }
+            _ => Err(Malformed("a value of an unknown type")),
+        }
+    }
+}
+
+/// The length of the whole frame at the front of `bytes`, with its four bytes of length, once that is there.
+pub fn frame(bytes: &[u8]) -> Result<Option<usize>, Malformed> {
+    let Some(head) = bytes.first_chunk::<4>() else { return Ok(None) };
+    let size = u32::from_be_bytes(*head) as usize;
+    if size > MOST_FRAME {
+        return Err(Malformed("a frame larger than allowed"));
+    }
+    Ok((bytes.len() >= 4 + size).then_some(4 + size))
+}
+
+/// Reads the message in a frame, given without its length.
+pub fn read(message: &[u8]) -> Result<Call, Malformed> {
+    let mut r = Reader { bytes: message };
+    let head = r.i32()? as u32;
+    if head >> 16 != 0x8001 {
+        return Err(Malformed("not the strict binary protocol"));
+    }
+    let kind = head as u8;
+    if kind != CALL && kind != ONEWAY {
+        return Err(Malformed("neither a call nor a oneway message"));
+    }
+    let method = r.string()?;
+    let seq = r.i32()?;
+    let (mut fields, mut body, mut target) = (Fields::new(), Vec::new(), None);
+    let serve = method == "serve";
+    r.fields(|r, kind, number| {
+        match (kind, number) {
+            (MAP, 1) if serve => fields = r.strings()?,
+            (STRING, 2) if serve => body = r.binary()?.to_vec(),
+            (I32, 1) if method == "forget" => target = Some(r.i32()?),
+            _ => r.skip(kind, 0)?,
+        }
+        Ok(())
+    })?;
+    match method.as_str() {
+        "serve" => Ok(Call::Serve { seq, fields, body }),
+        "forget" => Ok(Call::Forget { seq: target.ok_or(Malformed("a 'forget' without its argument"))? }),
+        "isWell" => Ok(Call::IsWell { seq }),
+        _ => Ok(Call::Unknown { seq, method }),
+    }
+}
+
+fn put_size(out: &mut Vec<u8>, size: usize) {
+    out.extend((size as u32).to_be_bytes());
+}
+
+fn put_bytes(out: &mut Vec<u8>, bytes: &[u8]) {
+    put_size(out, bytes.len());
+    out.extend(bytes);
+}
+
+fn put_field(out: &mut Vec<u8>, kind: u8, number: i16) {
+    out.push(kind);
+    out.extend(number.to_be_bytes());
+}
+
+fn put_strings(out: &mut Vec<u8>, fields: &[(&str, &str)]) {
+    out.extend([STRING, STRING]);
+    put_size(out, fields.len());
+    for (name, value) in fields {
+        put_bytes(out, name.as_bytes());
+        put_bytes(out, value.as_bytes());
+    }
+}
+
+fn message(kind: u8, method: &str, seq: i32, content: impl FnOnce(&mut Vec<u8>)) -> Vec<u8> {
+    let mut out = vec![0; 4];
+    out.extend((0x8001_0000 | u32::from(kind)).to_be_bytes());
+    put_bytes(&mut out, method.as_bytes());
+    out.extend(seq.to_be_bytes());
+    content(&mut out);
+    let size = (out.len() - 4) as u32;
+    out[..4].copy_from_slice(&size.to_be_bytes());
+    out
+}
+
+/// A reply with an `Answer`.
+pub fn answer(method: &str, seq: i32, body: &[u8], good: bool) -> Vec<u8> {
+    message(REPLY, method, seq, |out| {
+        put_field(out, STRUCT, 0);
+        put_field(out, STRING, 1);
+        put_bytes(out, body);
+        put_field(out, MAP, 2);
+        put_strings(out, &[]);
+        put_field(out, BOOL, 3);
+        out.extend([u8::from(good), STOP, STOP]);
+    })
+}
+
+fn thrown(seq: i32, number: i16, fields: &[(&str, &str)]) -> Vec<u8> {
+    message(REPLY, "serve", seq, |out| {
+        put_field(out, STRUCT, number);
+        put_field(out, MAP, 1);
+        put_strings(out, fields);
+        out.extend([STOP, STOP]);
+    })
+}
+
+/// A reply with `Trylater`; `pushback` in milliseconds.
+pub fn refused(seq: i32, pushback: Option<u64>) -> Vec<u8> {
+    match pushback {
+        Some(ms) => thrown(seq, 1, &[("pushback", &ms.to_string())]),
+        None => thrown(seq, 1, &[]),
+    }
+}
+
+/// A reply with `Aborted`.
+pub fn failed(seq: i32, why: &str) -> Vec<u8> {
+    thrown(seq, 2, &[("why", why)])
+}
+
+/// An application exception.
+pub fn exception(method: &str, seq: i32, number: i32, text: &str) -> Vec<u8> {
+    message(EXCEPTION, method, seq, |out| {
+        put_field(out, STRING, 1);
+        put_bytes(out, text.as_bytes());
+        put_field(out, I32, 2);
+        out.extend(number.to_be_bytes());
+        out.push(STOP);
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn serve() -> Vec<u8> {
+        message(CALL, "serve", 7, |out| {
+            put_field(out, MAP, 1);
+            put_strings(out, &[("op", "call")]);
+            put_field(out, STRING, 2);
+            put_bytes(out, b"\x00body");
+            put_field(out, 15, 9);
+            out.extend([I32, 0, 0, 0, 1, 0, 0, 0, 5]);
+            out.push(STOP);
+        })
+    }
+
+    #[test]
+    fn a_call_is_read_and_unknown_fields_are_skipped() {
+        let Call::Serve { seq, fields, body } = read(&serve()[4..]).expect("good") else {
+            panic!("no serve")
+        };
+        assert_eq!((seq, fields["op"].as_str(), body.as_slice()), (7, "call", b"\x00body".as_slice()));
+    }
+
+    #[test]
+    fn every_cut_of_a_message_is_an_error_and_none_a_panic() {
+        let whole = serve();
+        for end in 4..whole.len() - 1 {
+            assert!(read(&whole[4..end]).is_err(), "{end}");
+        }
+        for at in 4..whole.len() {
+            for value in [0, 0x7f, 0xff] {
+                let mut bent = whole.clone();
+                bent[at] = value;
+                let _ = read(&bent[4..]);
+            }
+        }
+    }
+
+    #[test]
+    fn a_huge_claimed_size_is_an_error_at_once() {
+        let mut deep = message(CALL, "x", 1, |out| {
+            put_field(out, 15, 1);
+            out.push(STRUCT);
+            put_size(out, 0x7fff_ffff);
+        });
+        deep.extend([0; 8]);
+        assert!(read(&deep[4..]).is_err());
+        assert_eq!(frame(&[0x7f, 0, 0, 0]), Err(Malformed("a frame larger than allowed")));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,8 +69,16 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod api;
-mod control;
+pub mod api;
+pub mod config;
+pub mod control;
+pub mod core;
+pub mod counters;
+pub mod executor;
+pub mod front;
+pub mod names;
+pub mod net;
+pub mod node;
 
 pub use api::*;
 pub use control::Router;
--- /dev/null
+++ b/src/names/dns.rs
@@ -0,0 +1,285 @@
+//! DNS messages (RFC 1035): writes the one query, reads the answers with every length and pointer bounded.
+
+use super::{Executor, State};
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+
+/// The largest answer read.
+pub const MOST_ANSWER: usize = 8_192;
+/// Jumps that a compressed name may take.
+const MOST_JUMPS: usize = 32;
+/// The longest name, in bytes.
+const MOST_NAME: usize = 255;
+/// Records read of one answer.
+const MOST_RECORDS: usize = 4_096;
+
+const A: u16 = 1;
+const SOA: u16 = 6;
+const TXT: u16 = 16;
+const AAAA: u16 = 28;
+const SRV: u16 = 33;
+
+/// An answer that can't be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadAnswer(pub &'static str);
+
+/// A readable answer.
+#[derive(Debug, PartialEq)]
+pub struct Answer {
+    /// The query's id.
+    pub id: u16,
+    /// The number of the last event.
+    pub serial: u32,
+    /// The whole list.
+    pub executors: Vec<Executor>,
+}
+
+/// A query for the service's SRV records.
+pub fn query(id: u16, name: &str) -> Vec<u8> {
+    let mut out = Vec::with_capacity(64);
+    // Recursion is not wanted; one question, one additional record.
+    for word in [id, 0, 1, 0, 0, 1] {
+        out.extend(word.to_be_bytes());
+    }
+    for label in name.split('.') {
+        out.push(label.len().min(63) as u8);
+        out.extend(label.bytes().take(63));
+    }
+    out.push(0);
+    out.extend(SRV.to_be_bytes());
+    out.extend(1u16.to_be_bytes());
+    // EDNS: answers of this size are taken.
+    out.extend([0, 0, 41]);
+    out.extend((MOST_ANSWER as u16).to_be_bytes());
+    out.extend([0; 6]);
+    out
+}
+
+/// The id of a message, if it has one.
+pub fn id(message: &[u8]) -> Option<u16> {
+    message.first_chunk::<2>().map(|b| u16::from_be_bytes(*b))
+}
+
+struct Reader<'a> {
+    whole: &'a [u8],
+    at: usize,
+}
+
+const SHORT: BadAnswer = BadAnswer("ends early");
+
+impl<'a> Reader<'a> {
+    fn take(&mut self, count: usize) -> Result<&'a [u8], BadAnswer> {
+        let end = self.at.checked_add(count).ok_or(SHORT)?;
+        let bytes = self.whole.get(self.at..end).ok_or(SHORT)?;
+        self.at = end;
+        Ok(bytes)
+    }
+
+    fn u16(&mut self) -> Result<u16, BadAnswer> {
+        self.take(2)?.try_into().map(u16::from_be_bytes).map_err(|_| SHORT)
+    }
+
+    fn u32(&mut self) -> Result<u32, BadAnswer> {
+        self.take(4)?.try_into().map(u32::from_be_bytes).map_err(|_| SHORT)
+    }
+
+    /// A name, in small letters. A pointer must lead backwards, so that no chain of them is endless.
+    fn name(&mut self) -> Result<String, BadAnswer> {
+        let (mut name, mut jumps, mut after, mut least) = (String::new(), 0, None, self.at);
+        loop {
+            let size = self.take(1)?[0];
+            match size {
+                0 => break,
+                1..=63 => {
+                    let label = self.take(usize::from(size))?;
+                    if name.len() + label.len() + 1 > MOST_NAME {
+                        return Err(BadAnswer("a name that is too long"));
+                    }
+                    if !name.is_empty() {
+                        name.push('.');
+                    }
+                    let text = std::str::from_utf8(label).map_err(|_| BadAnswer("a name that is no text"))?;
+                    name.push_str(&text.to_ascii_lowercase());
+                }
+                0xc0.. => {
+                    let to = usize::from(u16::from_be_bytes([size & 0x3f, self.take(1)?[0]]));
+                    after.get_or_insert(self.at);
+                    jumps += 1;
+                    if to >= least || jumps > MOST_JUMPS {
+                        return Err(BadAnswer("a compression pointer that leads nowhere"));
+                    }
+                    (self.at, least) = (to, to);
+                }
+                _ => return Err(BadAnswer("a label of an unknown form")),
+            }
+        }
+        self.at = after.unwrap_or(self.at);
+        Ok(name)
+    }
+}
+
+#[derive(Default)]
+struct Host {
+    address: Option<IpAddr>,
+    texts: BTreeMap<String, String>,
+}
+
+/// Reads an answer about `service`.
+pub fn read(message: &[u8], service: &str) -> Result<Answer, BadAnswer> {
+    let mut r = Reader { whole: message, at: 0 };
+    let (id, flags) = (r.u16()?, r.u16()?);
+    if flags & 0x8000 == 0 {
+        return Err(BadAnswer("a query"));
+    }
+    if flags & 0x0200 != 0 {
+        return Err(BadAnswer("cut off"));
+    }
+    if flags & 0x000f != 0 {
+        return Err(BadAnswer("an error"));
+    }
+    let mut counts = [0; 4];
+    for count in &mut counts {
+        *count = usize::from(r.u16()?);
+    }
+    for _ in 0..counts[0] {
+        r.name()?;
+        r.take(4)?;
+    }
+    let records = counts[1] + counts[2] + counts[3];
+    if records > MOST_RECORDS {
+        return Err(BadAnswer("too many records"));
+    }
+    let (mut serial, mut targets, mut hosts) = (None, Vec::new(), BTreeMap::<String, Host>::new());
+    for _ in 0..records {
+        let owner = r.name()?;
+        let (kind, _class, _ttl, size) = (r.u16()?, r.u16()?, r.u32()?, usize::from(r.u16()?));
+        let end = r.at + size;
+        if end > message.len() {
+            return Err(SHORT);
+        }
+        match kind {
+            SRV if owner == service => {
+                let (priority, _weight, port) = (r.u16()?, r.u16()?, r.u16()?);
+                targets.push((r.name()?, priority, port));
+            }
+            SOA => {
+                r.name()?;
+                r.name()?;
+                serial = Some(r.u32()?);
+            }
+            A if size == 4 => {
+                let octets = <[u8; 4]>::try_from(r.take(4)?).map_err(|_| SHORT)?;
+                hosts.entry(owner).or_default().address = Some(IpAddr::V4(Ipv4Addr::from(octets)));
+            }
+            AAAA if size == 16 => {
+                let octets = <[u8; 16]>::try_from(r.take(16)?).map_err(|_| SHORT)?;
+                hosts.entry(owner).or_default().address = Some(IpAddr::V6(Ipv6Addr::from(octets)));
+            }
+            TXT => {
+                let host = hosts.entry(owner).or_default();
+                while r.at < end {
+                    let size = usize::from(r.take(1)?[0]);
+                    if let Ok(text) = std::str::from_utf8(r.take(size)?)
+                        && let Some((name, value)) = text.split_once('=')
+                    {
+                        host.texts.insert(name.to_string(), value.to_string());
+                    }
+                }
+            }
+            _ => r.at = end,
+        }
+        if r.at > end {
+            return Err(BadAnswer("a record longer than it says"));
+        }
+        r.at = end;
+    }
+    let executors =
+        targets.into_iter().map(|(target, priority, port)| executor(target, priority, port, &hosts));
+    let executors = executors.collect::<Result<_, _>>()?;
+    Ok(Answer { id, serial: serial.ok_or(BadAnswer("no serial"))?, executors })
+}
+
+fn executor(
+    target: String,
+    priority: u16,
+    port: u16,
+    hosts: &BTreeMap<String, Host>,
+) -> Result<Executor, BadAnswer> {
+    let host = hosts.get(&target).ok_or(BadAnswer("a target without records"))?;
+    let address = host.address.ok_or(BadAnswer("a target without an address"))?;
+    let mut labels = target.split('.');
+    let (id, zone) = (labels.next().unwrap_or_default(), labels.next().unwrap_or_default());
+    let text = |name: &str| host.texts.get(name).map_or("", String::as_str);
+    Ok(Executor {
+        id: id.into(),
+        address: SocketAddr::new(address, port),
+        zone: zone.to_string(),
+        kind: text("kind").to_string(),
+        cell: text("cell").parse().unwrap_or(0),
+        state: if priority == 0 { State::Ready } else { State::Draining },
+        started_ms: text("started").parse().unwrap_or(0),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SERVICE: &str = "_back._tcp.pool.lan";
+
+    fn record(out: &mut Vec<u8>, name: &[u8], kind: u16, data: &[u8]) {
+        out.extend(name);
+        out.extend(kind.to_be_bytes());
+        out.extend([0, 1, 0, 0, 0, 0]);
+        out.extend((data.len() as u16).to_be_bytes());
+        out.extend(data);
+    }
+
+    /// One ready executor, its names compressed against the question.
+    fn answer() -> Vec<u8> {
+        let mut out = query(9, SERVICE);
+        out.truncate(out.len() - 11);
+        out[2] = 0x84;
+        (out[7], out[9], out[11]) = (1, 1, 2);
+        let host = out.len() + 12 + 6;
+        let mut srv = vec![0, 0, 0, 40, 0x1f, 0x90];
+        srv.extend(b"\x01s\x04east\x05hosts\x00");
+        record(&mut out, &[0xc0, 12], SRV, &srv);
+        record(&mut out, &[0], SOA, &[&[0, 0][..], &7u32.to_be_bytes(), &[0; 16]].concat());
+        let host = [0xc0 | (host >> 8) as u8, host as u8];
+        record(&mut out, &host, A, &[10, 1, 0, 9]);
+        record(&mut out, &host, TXT, b"\x08kind=std\x06cell=2\x0cstarted=1234");
+        out
+    }
+
+    #[test]
+    fn a_compressed_answer_is_read() {
+        let read = read(&answer(), SERVICE).expect("good");
+        assert_eq!((read.id, read.serial, read.executors.len()), (9, 7, 1));
+        let e = &read.executors[0];
+        assert_eq!((&*e.id, e.zone.as_str(), e.kind.as_str(), e.cell), ("s", "east", "std", 2));
+        assert_eq!((e.address.to_string().as_str(), e.started_ms), ("10.1.0.9:8080", 1234));
+    }
+
+    #[test]
+    fn no_cut_or_bent_answer_panics() {
+        let whole = answer();
+        for end in 0..whole.len() {
+            assert!(read(&whole[..end], SERVICE).is_err(), "{end}");
+        }
+        for at in 0..whole.len() {
+            for value in 0..=255 {
+                let mut bent = whole.clone();
+                bent[at] = value;
+                let _ = read(&bent, SERVICE);
+            }
+        }
+    }
+
+    #[test]
+    fn a_pointer_to_itself_is_refused() {
+        let mut message = vec![0, 9, 0x84, 0, 0, 1, 0, 0, 0, 0, 0, 0];
+        message.extend([0xc0, 12, 0, 33, 0, 1]);
+        assert_eq!(read(&message, SERVICE), Err(BadAnswer("a compression pointer that leads nowhere")));
+    }
+}
--- /dev/null
+++ b/src/names/resolver.rs
@@ -0,0 +1,100 @@
+//! Asks the name service for the list, over and over.
+
+use super::Executor;
+use super::dns::{self, MOST_ANSWER};
+use crate::counters::{Counters, count};
+use crate::net::{Interest, Poll};
+use rustix::net::{AddressFamily, RecvFlags, SendFlags, SocketFlags, SocketType};
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+use std::rc::Rc;
+
+/// A query goes out this often, whether the last was answered or not: so a lost one is replaced.
+const EVERY: u64 = 100_000;
+/// Queries whose answers are still taken.
+const OPEN: usize = 20;
+
+/// Asks the name service.
+pub struct Resolver {
+    fd: OwnedFd,
+    service: String,
+    next_id: u16,
+    open: VecDeque<u16>,
+    at: u64,
+    serial: u64,
+    counters: Rc<Counters>,
+}
+
+impl Resolver {
+    /// A resolver that holds the list up to the event `serial`.
+    pub fn new(
+        poll: &mut Poll,
+        owner: u8,
+        server: SocketAddr,
+        service: &str,
+        (serial, seed): (u64, u64),
+        counters: Rc<Counters>,
+    ) -> io::Result<Resolver> {
+        let family = if server.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        let fd = rustix::net::socket_with(family, SocketType::DGRAM, flags, None)?;
+        rustix::net::connect(&fd, &server)?;
+        let token = poll.token(owner, 0);
+        poll.add(&fd, token, Interest { read: true, write: false })?;
+        let service = service.to_string();
+        Ok(Resolver { fd, service, next_id: seed as u16, open: VecDeque::new(), at: 0, serial, counters })
+    }
+
+    /// When it next has something to do.
+    pub fn due(&self) -> u64 {
+        self.at
+    }
+
+    /// Sends the next query when it is time.
+    pub fn advance(&mut self, now: u64) {
+        if now < self.at {
+            return;
+        }
+        self.at = now + EVERY;
+        // Ids that can't be foreseen from one answer; a full period before one comes again.
+        self.next_id = self.next_id.wrapping_mul(25_173).wrapping_add(13_849);
+        let query = dns::query(self.next_id, &self.service);
+        if rustix::net::send(&self.fd, &query, SendFlags::NOSIGNAL).is_ok() {
+            count(&self.counters.dns_queries);
+            self.open.push_back(self.next_id);
+            if self.open.len() > OPEN {
+                self.open.pop_front();
+            }
+        }
+    }
+
+    /// Reads what has come; returns the newest list, if it is news.
+    pub fn ready(&mut self) -> Option<Vec<Executor>> {
+        let mut news = None;
+        let mut buffer = [0; MOST_ANSWER];
+        loop {
+            let size = match rustix::net::recv(&self.fd, &mut buffer, RecvFlags::empty()) {
+                Ok((_, size)) => size,
+                Err(rustix::io::Errno::INTR | rustix::io::Errno::CONNREFUSED) => continue,
+                Err(_) => return news,
+            };
+            // Danger: a forged, late or doubled packet. Only an id that is out counts, and only once.
+            let message = buffer.get(..size).unwrap_or_default();
+            let known = dns::id(message).and_then(|id| self.open.iter().position(|o| *o == id));
+            match (known, dns::read(message, &self.service)) {
+                (Some(place), Ok(answer)) => {
+                    self.open.remove(place);
+                    count(&self.counters.dns_answers);
+                    // Packets overtake each other: an older list must not undo a newer one.
+                    if u64::from(answer.serial) > self.serial {
+                        self.serial = u64::from(answer.serial);
+                        news = Some(answer.executors);
+                    }
+                }
+                _ => count(&self.counters.dns_dropped),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/link.rs
@@ -0,0 +1,234 @@
+//! A connection: an object with two rings, whose callbacks are told of what happens on it.
+
+use super::{Interest, Poll, Ready, Ring, Token};
+use rustix::net::{AddressFamily, RecvFlags, SendFlags, SocketFlags, SocketType, sockopt};
+use std::io;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+
+/// Reads a turn from one connection, so that none holds up the others.
+const READS: usize = 4;
+
+/// The peer sent what no well-behaved one sends; says what.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+/// Why a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Closed {
+    /// It never came up.
+    NoConnect,
+    /// The peer closed or reset it.
+    Broken,
+    /// The peer sent nonsense.
+    Malformed(&'static str),
+}
+
+/// What happens on a connection, told to the object that speaks its protocol.
+pub trait Callbacks {
+    /// Where that object leaves what it has read.
+    type Out;
+    /// Bytes have come; takes off the ring what it can read.
+    fn received(&mut self, input: &mut Ring, out: &mut Self::Out) -> Result<(), Malformed>;
+    /// Whether reading should go on; else the peer is left to wait.
+    fn wants_more(&self) -> bool {
+        true
+    }
+}
+
+/// The bytes' side of a connection.
+pub struct Io {
+    fd: OwnedFd,
+    token: Token,
+    interest: Interest,
+    connecting: bool,
+    input: Ring,
+    output: Ring,
+    /// The peer will send no more.
+    pub ended: bool,
+    /// Bytes ever queued for sending.
+    pub queued: u64,
+    /// Bytes that the system has taken.
+    pub written: u64,
+}
+
+/// A connection and the object that speaks on it.
+pub struct Link<C> {
+    /// The bytes' side.
+    pub io: Io,
+    /// The object that speaks.
+    pub peer: C,
+}
+
+impl Io {
+    /// Whether the connection is not up yet.
+    pub fn connecting(&self) -> bool {
+        self.connecting
+    }
+
+    /// The token it is registered under.
+    pub fn token(&self) -> Token {
+        self.token
+    }
+
+    /// Bytes that wait to be sent.
+    pub fn unsent(&self) -> usize {
+        self.output.len()
+    }
+
+    /// Bytes received and not yet read as a whole message.
+    pub fn unread(&self) -> usize {
+        self.input.len()
+    }
+
+    /// Queues bytes: all of them, or none if they do not fit.
+    #[must_use]
+    pub fn queue(&mut self, data: &[u8]) -> bool {
+        let fits = self.output.push(data);
+        self.queued += if fits { data.len() as u64 } else { 0 };
+        fits
+    }
+
+    /// Takes back everything queued beyond `keep` bytes ever queued.
+    pub fn unqueue_after(&mut self, keep: u64) {
+        let drop = self.queued.saturating_sub(keep.max(self.written)) as usize;
+        self.output.truncate(drop);
+        self.queued -= drop as u64;
+    }
+
+    fn flush(&mut self) -> Result<(), Closed> {
+        while !self.connecting && !self.output.is_empty() {
+            match rustix::net::send(&self.fd, self.output.front(), SendFlags::NOSIGNAL) {
+                Ok(count) => {
+                    self.output.consume(count);
+                    self.written += count as u64;
+                }
+                Err(rustix::io::Errno::AGAIN) => break,
+                Err(rustix::io::Errno::INTR) => {}
+                Err(_) => return Err(Closed::Broken),
+            }
+        }
+        Ok(())
+    }
+}
+
+impl<C: Callbacks> Link<C> {
+    /// Takes over an accepted connection.
+    pub fn accepted(
+        poll: &Poll,
+        fd: OwnedFd,
+        token: Token,
+        peer: C,
+        limits: (usize, usize),
+    ) -> io::Result<Self> {
+        let _ = sockopt::set_tcp_nodelay(&fd, true);
+        let interest = Interest { read: true, write: false };
+        poll.add(&fd, token, interest)?;
+        Ok(Link { io: Io::new(fd, token, interest, false, limits), peer })
+    }
+
+    /// Begins a connection.
+    pub fn connect(
+        poll: &Poll,
+        to: SocketAddr,
+        token: Token,
+        peer: C,
+        limits: (usize, usize),
+    ) -> io::Result<Self> {
+        let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        let fd = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
+        let _ = sockopt::set_tcp_nodelay(&fd, true);
+        match rustix::net::connect(&fd, &to) {
+            Ok(()) | Err(rustix::io::Errno::INPROGRESS) => {}
+            Err(e) => return Err(e.into()),
+        }
+        let interest = Interest { read: true, write: true };
+        poll.add(&fd, token, interest)?;
+        Ok(Link { io: Io::new(fd, token, interest, true, limits), peer })
+    }
+
+    /// Handles what happened to the descriptor. After an error the owner drops the connection.
+    pub fn ready(&mut self, poll: &mut Poll, ready: Ready, out: &mut C::Out) -> Result<(), Closed> {
+        if self.io.connecting {
+            if !ready.write && !ready.hung {
+                return Ok(());
+            }
+            match sockopt::socket_error(&self.io.fd) {
+                Ok(Ok(())) if !ready.hung => self.io.connecting = false,
+                _ => return Err(Closed::NoConnect),
+            }
+        }
+        let mut broken = None;
+        if (ready.read || ready.hung) && !self.io.ended {
+            broken = self.read(poll, out)?;
+        }
+        if let Some(why) = broken {
+            return Err(why);
+        }
+        // Danger: a peer that resets while it is left to wait would wake every turn and never be read.
+        if ready.hung && (self.io.ended || !self.peer.wants_more()) {
+            return Err(Closed::Broken);
+        }
+        self.flush(poll)
+    }
+
+    /// Reads what is there. A break is returned only after all that came before it has been read.
+    fn read(&mut self, poll: &mut Poll, out: &mut C::Out) -> Result<Option<Closed>, Closed> {
+        for _ in 0..READS {
+            let most = poll.scratch.len().min(self.io.input.room());
+            if !self.peer.wants_more() {
+                break;
+            }
+            if most == 0 {
+                return Err(Closed::Malformed("a message larger than allowed"));
+            }
+            match rustix::net::recv(&self.io.fd, &mut poll.scratch[..most], RecvFlags::empty()) {
+                Ok((0, _)) => {
+                    self.io.ended = true;
+                    break;
+                }
+                Ok((count, _)) => {
+                    // Fits: no more than the room was asked for.
+                    let _ = self.io.input.push(&poll.scratch[..count]);
+                    self.parse(out)?;
+                    if count < most {
+                        break;
+                    }
+                }
+                Err(rustix::io::Errno::AGAIN) => break,
+                Err(rustix::io::Errno::INTR) => {}
+                Err(_) => return Ok(Some(Closed::Broken)),
+            }
+        }
+        Ok(None)
+    }
+
+    fn parse(&mut self, out: &mut C::Out) -> Result<(), Closed> {
+        self.peer.received(&mut self.io.input, out).map_err(|m| Closed::Malformed(m.0))
+    }
+
+    /// Reads on in what had come while the peer was left to wait.
+    pub fn resume(&mut self, out: &mut C::Out) -> Result<(), Closed> {
+        if self.io.input.is_empty() { Ok(()) } else { self.parse(out) }
+    }
+
+    /// Sends what can be sent and waits for what is left.
+    pub fn flush(&mut self, poll: &Poll) -> Result<(), Closed> {
+        self.io.flush()?;
+        let write = self.io.connecting || !self.io.output.is_empty();
+        let interest = Interest { read: !self.io.ended && self.peer.wants_more(), write };
+        if interest != self.io.interest {
+            self.io.interest = interest;
+            poll.change(&self.io.fd, self.io.token, interest).map_err(|_| Closed::Broken)?;
+        }
+        Ok(())
+    }
+}
+
+impl Io {
+    fn new(fd: OwnedFd, token: Token, interest: Interest, connecting: bool, limits: (usize, usize)) -> Io {
+        let (input, output) = (Ring::new(limits.0), Ring::new(limits.1));
+        Io { fd, token, interest, connecting, input, output, ended: false, queued: 0, written: 0 }
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,15 @@
+//! The event loop, its clock, and what hangs on it: connections, their rings, listeners.
+
+mod clock;
+mod link;
+mod listener;
+mod poll;
+mod ring;
+mod signals;
+
+pub use clock::Clock;
+pub use link::{Callbacks, Closed, Io, Link, Malformed};
+pub use listener::{Accepted, Listener};
+pub use poll::{Interest, Poll, Ready, Token};
+pub use ring::Ring;
+pub use signals::{Signals, Wish};
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,240 @@
+//! One dispatcher: the loop that carries what the fronts, the executors and the name service say to the core,
+//! and what the core wants done back to them.
+
+use crate::api::Listing;
+use crate::config::{Config, Settings};
+use crate::control::Router;
+use crate::core::{Bounds, Command, Engine, Job, Ticket};
+use crate::counters::{Counters, count, most};
+use crate::executor::{self, Pool, Report};
+use crate::front::thrift::{self, Front, Intake};
+use crate::front::{Invalid, Sketch};
+use crate::names::{Executor, Resolver};
+use crate::net::{Clock, Poll, Ready, Signals, Wish};
+use std::io;
+use std::rc::Rc;
+
+const SIGNALS: u8 = 0;
+const NAMES: u8 = 1;
+const EXECUTORS: u8 = 2;
+const THRIFT: u8 = 3;
+
+/// Kept off a request's time: the way to and from the client, and a late turn of the loop. The client's count
+/// began when it sent.
+const MARGIN: u64 = 10_000;
+/// After SIGTERM, requests keep coming for this long and are served as always.
+const GRACE: u64 = 750_000;
+/// What is still unsettled this long after SIGTERM is given up: the longest deadline has passed.
+const PATIENCE: u64 = 30_000_000;
+/// Descriptors kept for all that is no connection.
+const RESERVED: usize = 32;
+
+/// A running dispatcher.
+pub struct Node {
+    poll: Poll,
+    clock: Clock,
+    now: u64,
+    settings: Settings,
+    engine: Engine,
+    front: Front,
+    pool: Pool,
+    resolver: Resolver,
+    signals: Signals,
+    draining: Option<u64>,
+    counters: Rc<Counters>,
+}
+
+impl Node {
+    /// Sets everything up; listens from here on.
+    pub fn new(config: Config) -> io::Result<Node> {
+        let clock = Clock::start();
+        let now = clock.read();
+        let mut poll = Poll::new()?;
+        let counters = Rc::new(Counters::default());
+        let settings = config.settings;
+        let (memory, sockets) = (config.resources.memory, config.resources.sockets);
+        // Shared out up front: clients may hold a third, and what they don't is not lent to them.
+        let clients = sockets / 3 + RESERVED / 2;
+        let executors = sockets.saturating_sub(clients + RESERVED).max(8);
+        let bounds = Bounds {
+            attempts: settings.module.max_attempts,
+            load_wait: settings.load_wait,
+            held_bytes: memory / 8,
+            held_requests: settings.max_open,
+            retry_after: settings.module.max_retry_after,
+        };
+        let router = Router::new(settings.module.clone(), config.seed, now);
+        let engine = Engine::new(router, bounds, counters.clone());
+        let limits = executor::Limits {
+            connections: executors,
+            streams: settings.streams_per_conn,
+            connect_timeout: settings.connect_timeout,
+            keepalive: settings.keepalive,
+            classes: settings.classes.clone(),
+            tells_warm: settings.tells_warm,
+            tells_crowd: settings.tells_crowd,
+        };
+        let pool = Pool::new(EXECUTORS, limits, counters.clone());
+        let service = crate::config::SERVICE;
+        let state = (config.known.0, config.seed);
+        let resolver = Resolver::new(&mut poll, NAMES, config.names, service, state, counters.clone())?;
+        let limits = thrift::Limits { connections: clients, unsent: memory / 8 };
+        let front = Front::new(&mut poll, THRIFT, config.listen, limits, counters.clone())?;
+        let signals = Signals::new(&mut poll, SIGNALS)?;
+        let draining = None;
+        let mut node =
+            Node { poll, clock, now, settings, engine, front, pool, resolver, signals, draining, counters };
+        node.list(&config.known.1);
+        node.settle();
+        Ok(node)
+    }
+
+    /// The address that clients connect to.
+    pub fn address(&self) -> Option<std::net::SocketAddr> {
+        self.front.address()
+    }
+
+    /// Serves until SIGTERM, and until all is settled then.
+    pub fn run(&mut self) -> io::Result<()> {
+        let mut happened: Vec<Ready> = Vec::new();
+        loop {
+            let due = [self.engine.due(), self.pool.due(), Some(self.front.due()), Some(self.resolver.due())];
+            let due = due
+                .into_iter()
+                .flatten()
+                .chain(self.draining.map(|since| since + GRACE).filter(|t| *t > self.now));
+            let wait = due.min().unwrap_or(u64::MAX).saturating_sub(self.clock.read());
+            most(&self.counters.loop_lag_most_us, self.clock.read() - self.now);
+            self.poll.wait(wait, &mut happened)?;
+            self.now = self.clock.read();
+            for ready in happened.drain(..) {
+                self.ready(ready);
+                self.settle();
+            }
+            self.engine.advance(self.now);
+            self.pool.advance(self.now);
+            self.front.advance(&mut self.poll, self.now);
+            self.resolver.advance(self.now);
+            self.settle();
+            if self.finished() {
+                return Ok(());
+            }
+        }
+    }
+
+    /// The counters, as one line.
+    pub fn counters(&self) -> String {
+        self.counters.to_string()
+    }
+
+    fn ready(&mut self, ready: Ready) {
+        match ready.token.owner {
+            NAMES => {
+                if let Some(executors) = self.resolver.ready() {
+                    count(&self.counters.lists_applied);
+                    self.list(&executors);
+                }
+            }
+            EXECUTORS => self.pool.ready(&mut self.poll, self.now, ready),
+            THRIFT => self.front.ready(&mut self.poll, self.now, ready),
+            _ => match self.signals.ready(ready.token) {
+                Some(Wish::Stop) => {
+                    self.draining.get_or_insert(self.now);
+                }
+                Some(Wish::Print) => println!("{}", self.counters),
+                None => {}
+            },
+        }
+    }
+
+    fn list(&mut self, executors: &[Executor]) {
+        self.pool.list(executors);
+        let listing = |e: &Executor| -> Listing {
+            let ready_at = (e.started_ms > 0).then(|| self.clock.from_unix_ms(e.started_ms));
+            self.settings.vocabulary.listing(e, ready_at)
+        };
+        let entries = executors.iter().map(listing).collect();
+        self.engine.list(self.now, entries);
+    }
+
+    /// Carries everything to and fro until nothing is left to carry.
+    fn settle(&mut self) {
+        loop {
+            let (intake, reports) =
+                (std::mem::take(&mut self.front.intake), std::mem::take(&mut self.pool.reports));
+            if intake.is_empty() && reports.is_empty() && self.engine.commands.is_empty() {
+                return;
+            }
+            for report in reports {
+                match report {
+                    Report::Attempt(id, ended) => self.engine.ended(self.now, id, ended),
+                    Report::Order(order, outcome, copies) => {
+                        self.engine.loaded(self.now, order, outcome, copies)
+                    }
+                }
+            }
+            for asked in intake {
+                match asked {
+                    Intake::Serve(ticket, sketch, body) => self.take(ticket, sketch, body),
+                    Intake::Forget(ticket) => self.engine.forget(self.now, ticket),
+                }
+            }
+            while let Some(command) = self.engine.commands.pop_front() {
+                self.command(command);
+            }
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        let (poll, now) = (&mut self.poll, self.now);
+        match command {
+            Command::Send { attempt, worker, wait, job } => {
+                self.pool.send(poll, now, attempt, &worker, wait, &job)
+            }
+            Command::Halt { attempt } => self.pool.halt(poll, now, attempt),
+            Command::Load { order, worker, function, copies } => {
+                self.pool.load(poll, now, order, &worker, &function, copies)
+            }
+            Command::Answer { ticket, answer } => self.front.answer(poll, ticket, &answer),
+        }
+    }
+
+    fn take(&mut self, ticket: Ticket, sketch: Sketch, body: Vec<u8>) {
+        match job(&self.settings, sketch, body) {
+            Ok(job) => self.engine.take(self.now, ticket, job),
+            Err(invalid) => self.front.invalid(&self.poll, ticket, &invalid.to_string()),
+        }
+    }
+
+    fn finished(&mut self) -> bool {
+        let Some(since) = self.draining else { return false };
+        if self.now < since + GRACE {
+            return false;
+        }
+        self.front.stop_listening();
+        let settled = self.engine.owed() == 0 && !self.front.unsent();
+        settled || self.now >= since + PATIENCE
+    }
+}
+
+/// A request's figures with the settings' names looked up.
+fn job(settings: &Settings, sketch: Sketch, body: Vec<u8>) -> Result<Job, Invalid> {
+    let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+    let class = place(&settings.classes, &sketch.class);
+    let class = class.ok_or(Invalid { field: "op", why: "is no class of the settings" })?;
+    let tenant = match &sketch.tenant {
+        Some(name) => place(&settings.tenants, name).ok_or(Invalid { field: "org", why: "is no tenant" })?,
+        None => 0,
+    };
+    Ok(Job {
+        class,
+        tenant,
+        function: sketch.function,
+        lanes: sketch.lanes,
+        load_time: sketch.load_us,
+        time_left: sketch.ttl_us.saturating_sub(MARGIN),
+        call: sketch.call,
+        key: sketch.key,
+        body,
+    })
+}
