--- a/src/config/keys.rs
+++ b/src/config/keys.rs
@@ -39,6 +39,15 @@
         Key { path, value: self.value.and_then(|v| v.get(name)).filter(|v| !v.is_null()) }
     }
 
+    /// Checks that an object has no other keys: a key that is misspelt would pass for its default.
+    pub fn only(&self, names: &[&str]) -> Result<(), Error> {
+        let members = self.value.and_then(Value::as_object);
+        match members.and_then(|m| m.keys().find(|k| !names.contains(&k.as_str()))) {
+            Some(other) => Err(self.get(other).error("is not a key known here")),
+            None => Ok(()),
+        }
+    }
+
     /// Whether the key is there.
     pub fn given(&self) -> bool {
         self.value.is_some()
--- /dev/null
+++ b/src/config/operator.rs
@@ -0,0 +1,150 @@
+//! The operator's file: MQTT brokers and the agent. Without it both are off.
+
+use super::keys::{Error, Key};
+use crate::front::mqtt::Options;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// An instance that the agent keeps running.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Instance {
+    /// Its name.
+    pub name: String,
+    /// Where its clients connect.
+    pub listen: SocketAddr,
+    /// Its configuration file.
+    pub config: PathBuf,
+    /// Where balancers ask for its agent-check line.
+    pub check: Option<SocketAddr>,
+    /// It takes MQTT triggers.
+    pub mqtt: bool,
+}
+
+/// What the agent is told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Agent {
+    /// Where it answers HTTP: health, status, and the command line's orders.
+    pub listen: SocketAddr,
+    /// The time between two health checks of an instance, in microseconds.
+    pub check_every: u64,
+    /// An instance that does not answer a health check for this long is down, in microseconds.
+    pub check_timeout: u64,
+    /// How long balancers are told to drain an instance before it is ended, in microseconds.
+    pub drain: u64,
+    /// How long an instance may take to end before it is killed, in microseconds.
+    pub stop_timeout: u64,
+    /// The instances.
+    pub instances: Vec<Instance>,
+}
+
+/// The operator's file.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Operator {
+    /// The brokers to take triggers from; `{name}` still stands for the instance's name.
+    pub brokers: Vec<Options>,
+    /// What the agent is told.
+    pub agent: Option<Agent>,
+}
+
+impl Operator {
+    /// Reads the file.
+    pub fn load(path: &Path) -> Result<Operator, Error> {
+        let fault = |why: String| Error { key: path.display().to_string(), why };
+        let text = std::fs::read_to_string(path).map_err(|e| fault(e.to_string()))?;
+        Operator::read(&text)
+    }
+
+    /// Reads the text of such a file.
+    pub fn read(text: &str) -> Result<Operator, Error> {
+        let value: Value = toml::from_str(text)
+            .map_err(|e| Error { key: "(the whole file)".to_string(), why: format!("is not TOML: {e}") })?;
+        let top = Key::top(&value);
+        top.only(&["mqtt", "agent"])?;
+        let brokers = top.get("mqtt").entries()?.iter().map(broker).collect::<Result<_, _>>()?;
+        let agent = top.get("agent");
+        Ok(Operator { brokers, agent: if agent.given() { Some(read_agent(&agent)?) } else { None } })
+    }
+
+    /// The brokers of the instance with this name.
+    pub fn brokers_of(&self, name: &str) -> Vec<Options> {
+        let own = |o: &Options| Options {
+            client_id: o.client_id.replace("{name}", name),
+            triggers: o.triggers.replace("{name}", name),
+            ..o.clone()
+        };
+        self.brokers.iter().map(own).collect()
+    }
+}
+
+fn broker(key: &Key) -> Result<Options, Error> {
+    key.only(&[
+        "broker",
+        "client_id",
+        "triggers",
+        "receive_maximum",
+        "maximum_packet",
+        "keep_alive_s",
+        "session_expiry_s",
+        "record_expiry_s",
+        "user",
+        "password",
+    ])?;
+    let (user, triggers) = (key.get("user"), key.get("triggers"));
+    let filter = triggers.text_or("ochreward/{name}/triggers/#")?;
+    if filter.is_empty() {
+        return Err(triggers.error("a topic filter is wanted"));
+    }
+    Ok(Options {
+        broker: key.get("broker").address()?,
+        client_id: key.get("client_id").text_or("ochreward-{name}")?,
+        triggers: filter,
+        receive_maximum: key.get("receive_maximum").between(1, 1024, 64)? as u16,
+        maximum_packet: key.get("maximum_packet").between(1024, 1 << 20, 64 << 10)? as usize,
+        keep_alive: key.get("keep_alive_s").between(1, 65_535, 30)? as u16,
+        session_expiry: key.get("session_expiry_s").between(1, u64::from(u32::MAX), 3_600)? as u32,
+        record_expiry: key.get("record_expiry_s").between(1, u64::from(u32::MAX), 86_400)? as u32,
+        login: if user.given() {
+            Some((user.text()?.to_string(), key.get("password").text_or("")?))
+        } else {
+            None
+        },
+    })
+}
+
+fn read_agent(key: &Key) -> Result<Agent, Error> {
+    key.only(&["listen", "check_every_ms", "check_timeout_ms", "drain_ms", "stop_timeout_ms", "instance"])?;
+    let instances = key.get("instance").entries()?.iter().map(instance).collect::<Result<Vec<_>, _>>()?;
+    for (i, instance) in instances.iter().enumerate() {
+        if instances[..i].iter().any(|other| other.name == instance.name) {
+            return Err(key
+                .get(&format!("instance[{i}]"))
+                .get("name")
+                .error("another instance has this name"));
+        }
+    }
+    Ok(Agent {
+        listen: key.get("listen").address()?,
+        check_every: key.get("check_every_ms").between(10, 600_000, 500)? * 1000,
+        check_timeout: key.get("check_timeout_ms").between(10, 600_000, 2_000)? * 1000,
+        drain: key.get("drain_ms").between(0, 600_000, 2_000)? * 1000,
+        stop_timeout: key.get("stop_timeout_ms").between(1_000, 600_000, 10_000)? * 1000,
+        instances,
+    })
+}
+
+fn instance(key: &Key) -> Result<Instance, Error> {
+    key.only(&["name", "listen", "config", "check", "mqtt"])?;
+    let (name, check) = (key.get("name"), key.get("check"));
+    let text = name.text()?;
+    if text.is_empty() || !text.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_') {
+        return Err(name.error("letters, digits, - and _ are wanted"));
+    }
+    Ok(Instance {
+        name: text.to_string(),
+        listen: key.get("listen").address()?,
+        config: key.get("config").text()?.into(),
+        check: if check.given() { Some(check.address()?) } else { None },
+        mqtt: key.get("mqtt").flag_or(false)?,
+    })
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,7 +5,10 @@
 
 mod timers;
 
-use crate::api::{Action, Event, Found, FunctionId, Listing, Micros, Outcome, RequestId, WorkerId};
+use crate::api::{
+    Action, Class, Effect, Event, Found, FunctionId, KeyScope, Listing, Micros, Outcome, RequestId, Settings,
+    WorkerId,
+};
 use crate::control::Router;
 use crate::counters::{Counters, count};
 use std::collections::{BTreeMap, VecDeque};
@@ -45,6 +48,8 @@
     pub key: Option<Arc<str>>,
     /// Its body.
     pub body: Vec<u8>,
+    /// It may have run before, its client having sent it this long ago.
+    pub repeat: Option<Micros>,
 }
 
 /// A final answer.
@@ -139,6 +144,8 @@
     pub held_requests: usize,
     /// The longest time that clients stay away when told.
     pub retry_after: Micros,
+    /// The longest time from an attempt's send to its first byte.
+    pub send_lag: Micros,
 }
 
 struct Attempt {
@@ -152,6 +159,8 @@
     deadline: Micros,
     /// The final answer was given, or is owed no more.
     settled: bool,
+    /// Attempts it may have.
+    most: usize,
     attempts: Vec<Attempt>,
 }
 
@@ -165,6 +174,7 @@
 pub struct Engine {
     router: Router,
     bounds: Bounds,
+    classes: Vec<Class>,
     held: BTreeMap<RequestId, Held>,
     tickets: BTreeMap<Ticket, RequestId>,
     orders: BTreeMap<u64, Order>,
@@ -181,10 +191,17 @@
 
 impl Engine {
     /// An engine that holds nothing.
-    pub fn new(router: Router, bounds: Bounds, counters: Rc<Counters>) -> Engine {
+    pub fn new(
+        settings: &Settings,
+        seed: u64,
+        now: Micros,
+        bounds: Bounds,
+        counters: Rc<Counters>,
+    ) -> Engine {
         Engine {
-            router,
+            router: Router::new(settings.clone(), seed, now),
             bounds,
+            classes: settings.classes.clone(),
             held: BTreeMap::new(),
             tickets: BTreeMap::new(),
             orders: BTreeMap::new(),
@@ -225,6 +242,7 @@
         let full = self.held_bytes + job.body.len() > self.bounds.held_bytes
             || self.held.len() >= self.bounds.held_requests;
         self.held_bytes += job.body.len();
+        let (barred, attempts) = self.repeat(&job);
         let event = Event::Request {
             id,
             class: job.class,
@@ -234,8 +252,13 @@
             load_time: job.load_time,
             time_left: job.time_left,
         };
-        let held = Held { ticket, job: Rc::new(job), deadline, settled: false, attempts: Vec::new() };
+        let held =
+            Held { ticket, job: Rc::new(job), deadline, settled: false, most: attempts, attempts: vec![] };
         self.held.insert(id, held);
+        if let Some(why) = barred {
+            self.settle(id, Final::Failed(why));
+            return self.tidy(id);
+        }
         if full {
             self.settle(id, Final::Refused(self.bounds.retry_after));
             return self.tidy(id);
@@ -244,6 +267,23 @@
         self.tell(now, event);
     }
 
+    /// Why a request that may have run before must not run, and how many attempts it may have.
+    fn repeat(&self, job: &Job) -> (Option<&'static str>, usize) {
+        let most = self.bounds.attempts;
+        let (Some(age), Some(class)) = (job.repeat, self.classes.get(job.class)) else { return (None, most) };
+        match class.effect {
+            Effect::Idempotent => (None, most),
+            Effect::AtMostOnce => (Some("may have run before"), most),
+            // Danger: executors drop repeats for a while only, and the first attempt may have gone out as soon
+            // as the client had sent. A second attempt of this one could come too late for them.
+            Effect::Deduplicated => {
+                let known = class.key_scope == KeyScope::All && job.key.is_some();
+                let late = age.saturating_add(self.bounds.send_lag) >= class.repeat_window;
+                (Some("may have run before, too long ago to repeat").filter(|_| late || !known), 1)
+            }
+        }
+    }
+
     /// The client waits no more: nothing is owed.
     pub fn forget(&mut self, now: Micros, ticket: Ticket) {
         let Some(id) = self.tickets.remove(&ticket) else { return };
@@ -373,7 +413,7 @@
         let Some(held) = self.held.get_mut(&id) else { return };
         let number = held.attempts.len();
         let until = until.unwrap_or(held.deadline).min(held.deadline);
-        let legal = !held.settled && number < self.bounds.attempts && until > now;
+        let legal = !held.settled && number < held.most && until > now;
         held.attempts.push(Attempt { sent: now, open: legal });
         if !legal {
             let last = held.settled;
--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::fmt;
+use std::io::Write;
 
 macro_rules! counters {
     ($($name:ident: $text:literal,)*) => {
@@ -74,3 +75,8 @@
 pub fn most(cell: &Cell<u64>, value: u64) {
     cell.set(cell.get().max(value));
 }
+
+/// Writes a line to standard output. Danger: where nobody reads it any more, `println` would panic.
+pub fn say(line: impl fmt::Display) {
+    let _ = writeln!(std::io::stdout().lock(), "{line}");
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -2,6 +2,29 @@
 //! decide nothing.
 
 mod info;
+pub mod mqtt;
 pub mod thrift;
 
+use crate::core::Ticket;
+
 pub use info::{Fields, Invalid, Sketch};
+
+/// What clients ask, whichever front they come by.
+#[derive(Debug)]
+pub enum Intake {
+    /// A request whose figures are usable.
+    Serve {
+        /// Where its answer goes.
+        ticket: Ticket,
+        /// Its figures.
+        sketch: Sketch,
+        /// Its body.
+        body: Vec<u8>,
+        /// How long ago its client sent it, in microseconds; 0 where that is not told.
+        age_us: u64,
+        /// It may have been handed in before, to this program or another.
+        again: bool,
+    },
+    /// The client waits for this no more.
+    Forget(Ticket),
+}
--- /dev/null
+++ b/src/front/mqtt/mod.rs
@@ -0,0 +1,8 @@
+//! MQTT triggers: the program is a client of a broker, takes requests from a topic filter and publishes each
+//! final answer, retained, on the request's own response topic, which is also the record that it was answered.
+
+mod front;
+mod records;
+mod wire;
+
+pub use front::{Front, Options};
--- a/src/front/thrift/front.rs
+++ b/src/front/thrift/front.rs
@@ -3,7 +3,7 @@
 use super::wire::{self, Call};
 use crate::core::{Final, Ticket};
 use crate::counters::{Counters, count};
-use crate::front::Sketch;
+use crate::front::{Intake, Invalid, Sketch};
 use crate::net::{Accepted, Callbacks, Closed, Link, Listener, Malformed, Poll, Ready, Ring};
 use slab::Slab;
 use std::collections::BTreeSet;
@@ -35,15 +35,6 @@
     pub unsent: usize,
 }
 
-/// What clients ask.
-#[derive(Debug)]
-pub enum Intake {
-    /// A request whose figures are usable, and its body.
-    Serve(Ticket, Sketch, Vec<u8>),
-    /// The client waits for this no more.
-    Forget(Ticket),
-}
-
 struct Client {
     open: BTreeSet<i32>,
     used: u64,
@@ -193,7 +184,9 @@
     /// Closes the connection that has been idle longest, if one has nothing open.
     fn evict(&mut self) -> bool {
         let idle = |l: &Link<Client>| l.peer.open.is_empty() && l.io.unsent() == 0 && l.io.unread() == 0;
-        let oldest = self.links.iter().filter(|(_, l)| idle(l)).min_by_key(|(_, l)| l.peer.used);
+        // Danger: many come in one turn, at one time; the newest, whose request is on its way, must not go first.
+        let age = |l: &Link<Client>| (l.peer.used, l.io.token().serial);
+        let oldest = self.links.iter().filter(|(_, l)| idle(l)).min_by_key(|(_, l)| age(l));
         let Some(slot) = oldest.map(|(slot, _)| slot) else { return false };
         count(&self.counters.clients_evicted);
         self.close(slot, Closed::Broken);
@@ -219,7 +212,7 @@
                     Ok(sketch) => {
                         link.peer.open.insert(seq);
                         let ticket = self.ticket(slot, seq);
-                        self.intake.push(Intake::Serve(ticket, sketch, body));
+                        self.intake.push(Intake::Serve { ticket, sketch, body, age_us: 0, again: false });
                     }
                     Err(invalid) => {
                         count(&self.counters.requests_invalid);
@@ -248,9 +241,11 @@
     }
 
     /// A request whose class or tenant the settings lack: nothing was taken in.
-    pub fn invalid(&mut self, poll: &Poll, ticket: Ticket, text: &str) {
+    pub fn invalid(&mut self, poll: &Poll, ticket: Ticket, invalid: &Invalid) {
         count(&self.counters.requests_invalid);
-        self.reply(poll, ticket, |seq| wire::exception("serve", seq, wire::PROTOCOL_ERROR, text));
+        self.reply(poll, ticket, |seq| {
+            wire::exception("serve", seq, wire::PROTOCOL_ERROR, &invalid.to_string())
+        });
     }
 
     /// Writes the final answer of a request.
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -3,4 +3,5 @@
 mod front;
 mod wire;
 
-pub use front::{Front, Intake, Limits};
+pub use front::{Front, Limits};
+pub use wire::{ask_well, read_well};
--- a/src/front/thrift/wire.rs
+++ b/src/front/thrift/wire.rs
@@ -1,7 +1,7 @@
 //! Framed Thrift, strict binary protocol: reads calls, writes replies.
 
 use crate::front::Fields;
-use crate::net::Malformed;
+use crate::net::{Malformed, Reader};
 
 /// The largest frame taken: a body of 16 KiB, its fields, and room to spare.
 pub const MOST_FRAME: usize = 64 * 1024;
@@ -58,27 +58,22 @@
     },
 }
 
-struct Reader<'a> {
-    bytes: &'a [u8],
+/// How Thrift puts values on the wire.
+trait Values<'a>: Sized {
+    fn i32(&mut self) -> Result<i32, Malformed>;
+    fn size(&mut self) -> Result<usize, Malformed>;
+    fn binary(&mut self) -> Result<&'a [u8], Malformed>;
+    fn string(&mut self) -> Result<String, Malformed>;
+    fn strings(&mut self) -> Result<Fields, Malformed>;
+    /// Calls `take` with each field's type and number.
+    fn fields(
+        &mut self,
+        take: impl FnMut(&mut Self, u8, i16) -> Result<(), Malformed>,
+    ) -> Result<(), Malformed>;
+    fn skip(&mut self, kind: u8, depth: usize) -> Result<(), Malformed>;
 }
 
-const SHORT: Malformed = Malformed("a message that ends early");
-
-impl<'a> Reader<'a> {
-    fn take(&mut self, count: usize) -> Result<&'a [u8], Malformed> {
-        let (head, tail) = self.bytes.split_at_checked(count).ok_or(SHORT)?;
-        self.bytes = tail;
-        Ok(head)
-    }
-
-    fn array<const N: usize>(&mut self) -> Result<[u8; N], Malformed> {
-        self.take(N)?.try_into().map_err(|_| SHORT)
-    }
-
-    fn byte(&mut self) -> Result<u8, Malformed> {
-        Ok(self.array::<1>()?[0])
-    }
-
+impl<'a> Values<'a> for Reader<'a> {
     fn i32(&mut self) -> Result<i32, Malformed> {
         Ok(i32::from_be_bytes(self.array()?))
     }
@@ -93,12 +88,12 @@
     }
 
     fn string(&mut self) -> Result<String, Malformed> {
-        let text = std::str::from_utf8(self.binary()?).map_err(|_| Malformed("text that is not UTF-8"))?;
-        Ok(text.to_string())
+        let size = self.size()?;
+        self.text(size)
     }
 
     fn strings(&mut self) -> Result<Fields, Malformed> {
-        let (key, value, size) = (self.byte()?, self.byte()?, self.size()?);
+        let (key, value, size) = (self.u8()?, self.u8()?, self.size()?);
         if size > 0 && (key, value) != (STRING, STRING) {
             return Err(Malformed("a map of other things than text"));
         }
@@ -111,13 +106,12 @@
         Ok(fields)
     }
 
-    /// Calls `take` with each field's type and number; it skips what it does not know.
     fn fields(
         &mut self,
         mut take: impl FnMut(&mut Self, u8, i16) -> Result<(), Malformed>,
     ) -> Result<(), Malformed> {
         loop {
-            let kind = self.byte()?;
+            let kind = self.u8()?;
             if kind == STOP {
                 return Ok(());
             }
@@ -138,14 +132,14 @@
             STRING => self.binary().map(drop),
             STRUCT => self.fields(|r, kind, _| r.skip(kind, depth + 1)),
             MAP => {
-                let (key, value, size) = (self.byte()?, self.byte()?, self.size()?);
+                let (key, value, size) = (self.u8()?, self.u8()?, self.size()?);
                 (0..size).try_for_each(|_| {
                     self.skip(key, depth + 1)?;
                     self.skip(value, depth + 1)
                 })
             }
             14 | 15 => {
-                let (kind, size) = (self.byte()?, self.size()?);
+                let (kind, size) = (self.u8()?, self.size()?);
                 (0..size).try_for_each(|_| self.skip(kind, depth + 1))
             }
             _ => Err(Malformed("a value of an unknown type")),
@@ -165,7 +159,7 @@
 
 /// Reads the message in a frame, given without its length.
 pub fn read(message: &[u8]) -> Result<Call, Malformed> {
-    let mut r = Reader { bytes: message };
+    let mut r = Reader::new(message);
     let head = r.i32()? as u32;
     if head >> 16 != 0x8001 {
         return Err(Malformed("not the strict binary protocol"));
@@ -275,6 +269,34 @@
     })
 }
 
+/// A client's health check.
+pub fn ask_well() -> Vec<u8> {
+    message(CALL, "isWell", 1, |out| {
+        put_field(out, BOOL, 1);
+        out.extend([1, STOP]);
+    })
+}
+
+/// The answer to a health check at the front of `bytes`: the size of its frame, and whether all is well.
+pub fn read_well(bytes: &[u8]) -> Result<Option<(usize, bool)>, Malformed> {
+    let Some(size) = frame(bytes)? else { return Ok(None) };
+    let mut r = Reader::new(&bytes[4..size]);
+    let head = r.i32()? as u32;
+    r.string()?;
+    r.i32()?;
+    let mut good = false;
+    if head as u8 == REPLY {
+        r.fields(|r, kind, number| match (kind, number) {
+            (STRUCT, 0) => r.fields(|r, kind, number| match (kind, number) {
+                (BOOL, 3) => r.u8().map(|b| good = b == 1),
+                _ => r.skip(kind, 0),
+            }),
+            _ => r.skip(kind, 0),
+        })?;
+    }
+    Ok(Some((size, good)))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod agent;
 pub mod api;
 pub mod config;
 pub mod control;
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -96,6 +96,11 @@
         self.queued -= drop as u64;
     }
 
+    /// Tells the peer that nothing more will be sent.
+    pub fn finish(&self) {
+        let _ = rustix::net::shutdown(&self.fd, rustix::net::Shutdown::Write);
+    }
+
     fn flush(&mut self) -> Result<(), Closed> {
         while !self.connecting && !self.output.is_empty() {
             match rustix::net::send(&self.fd, self.output.front(), SendFlags::NOSIGNAL) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 mod link;
 mod listener;
 mod poll;
+mod reader;
 mod ring;
 mod signals;
 
@@ -11,5 +12,6 @@
 pub use link::{Callbacks, Closed, Io, Link, Malformed};
 pub use listener::{Accepted, Listener};
 pub use poll::{Interest, Poll, Ready, Token};
+pub use reader::Reader;
 pub use ring::Ring;
 pub use signals::{Signals, Wish};
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,14 +1,12 @@
 //! One dispatcher: the loop that carries what the fronts, the executors and the name service say to the core,
 //! and what the core wants done back to them.
 
-use crate::api::Listing;
+use crate::api::{Effect, Listing};
 use crate::config::{Config, Settings};
-use crate::control::Router;
 use crate::core::{Bounds, Command, Engine, Job, Ticket};
-use crate::counters::{Counters, count, most};
+use crate::counters::{Counters, count, most, say};
 use crate::executor::{self, Pool, Report};
-use crate::front::thrift::{self, Front, Intake};
-use crate::front::{Invalid, Sketch};
+use crate::front::{Intake, Invalid, Sketch, mqtt, thrift};
 use crate::names::{Executor, Resolver};
 use crate::net::{Clock, Poll, Ready, Signals, Wish};
 use std::io;
@@ -18,6 +16,8 @@
 const NAMES: u8 = 1;
 const EXECUTORS: u8 = 2;
 const THRIFT: u8 = 3;
+/// Fronts that speak MQTT are numbered from here.
+const MQTT: u8 = 16;
 
 /// Kept off a request's time: the way to and from the client, and a late turn of the loop. The client's count
 /// began when it sent.
@@ -36,7 +36,8 @@
     now: u64,
     settings: Settings,
     engine: Engine,
-    front: Front,
+    thrift: thrift::Front,
+    mqtt: Vec<mqtt::Front>,
     pool: Pool,
     resolver: Resolver,
     signals: Signals,
@@ -46,7 +47,7 @@
 
 impl Node {
     /// Sets everything up; listens from here on.
-    pub fn new(config: Config) -> io::Result<Node> {
+    pub fn new(config: Config, brokers: Vec<mqtt::Options>) -> io::Result<Node> {
         let clock = Clock::start();
         let now = clock.read();
         let mut poll = Poll::new()?;
@@ -62,9 +63,9 @@
             held_bytes: memory / 8,
             held_requests: settings.max_open,
             retry_after: settings.module.max_retry_after,
+            send_lag: settings.connect_timeout + MARGIN,
         };
-        let router = Router::new(settings.module.clone(), config.seed, now);
-        let engine = Engine::new(router, bounds, counters.clone());
+        let engine = Engine::new(&settings.module, config.seed, now, bounds, counters.clone());
         let limits = executor::Limits {
             connections: executors,
             streams: settings.streams_per_conn,
@@ -79,11 +80,25 @@
         let state = (config.known.0, config.seed);
         let resolver = Resolver::new(&mut poll, NAMES, config.names, service, state, counters.clone())?;
         let limits = thrift::Limits { connections: clients, unsent: memory / 8 };
-        let front = Front::new(&mut poll, THRIFT, config.listen, limits, counters.clone())?;
+        let thrift = thrift::Front::new(&mut poll, THRIFT, config.listen, limits, counters.clone())?;
+        let number = |(i, options)| mqtt::Front::new(MQTT + i as u8, options, counters.clone());
+        let mqtt = brokers.into_iter().take(64).enumerate().map(number).collect();
         let signals = Signals::new(&mut poll, SIGNALS)?;
         let draining = None;
-        let mut node =
-            Node { poll, clock, now, settings, engine, front, pool, resolver, signals, draining, counters };
+        let mut node = Node {
+            poll,
+            clock,
+            now,
+            settings,
+            engine,
+            thrift,
+            mqtt,
+            pool,
+            resolver,
+            signals,
+            draining,
+            counters,
+        };
         node.list(&config.known.1);
         node.settle();
         Ok(node)
@@ -91,19 +106,14 @@
 
     /// The address that clients connect to.
     pub fn address(&self) -> Option<std::net::SocketAddr> {
-        self.front.address()
+        self.thrift.address()
     }
 
     /// Serves until SIGTERM, and until all is settled then.
     pub fn run(&mut self) -> io::Result<()> {
         let mut happened: Vec<Ready> = Vec::new();
         loop {
-            let due = [self.engine.due(), self.pool.due(), Some(self.front.due()), Some(self.resolver.due())];
-            let due = due
-                .into_iter()
-                .flatten()
-                .chain(self.draining.map(|since| since + GRACE).filter(|t| *t > self.now));
-            let wait = due.min().unwrap_or(u64::MAX).saturating_sub(self.clock.read());
+            let wait = self.due().saturating_sub(self.clock.read());
             most(&self.counters.loop_lag_most_us, self.clock.read() - self.now);
             self.poll.wait(wait, &mut happened)?;
             self.now = self.clock.read();
@@ -113,8 +123,9 @@
             }
             self.engine.advance(self.now);
             self.pool.advance(self.now);
-            self.front.advance(&mut self.poll, self.now);
+            self.thrift.advance(&mut self.poll, self.now);
             self.resolver.advance(self.now);
+            self.mqtt.iter_mut().for_each(|f| f.advance(&mut self.poll, self.now));
             self.settle();
             if self.finished() {
                 return Ok(());
@@ -122,6 +133,14 @@
         }
     }
 
+    /// When something is next to be done, whatever happens.
+    fn due(&self) -> u64 {
+        let grace = self.draining.map(|since| since + GRACE).filter(|end| *end > self.now);
+        let parts = [self.engine.due(), self.pool.due(), grace];
+        let own = parts.into_iter().flatten().chain(self.mqtt.iter().map(mqtt::Front::due));
+        own.min().unwrap_or(u64::MAX).min(self.thrift.due()).min(self.resolver.due())
+    }
+
     /// The counters, as one line.
     pub fn counters(&self) -> String {
         self.counters.to_string()
@@ -136,12 +155,18 @@
                 }
             }
             EXECUTORS => self.pool.ready(&mut self.poll, self.now, ready),
-            THRIFT => self.front.ready(&mut self.poll, self.now, ready),
+            THRIFT => self.thrift.ready(&mut self.poll, self.now, ready),
+            owner @ MQTT.. => {
+                let unix_ms = self.clock.unix_ms(self.now);
+                if let Some(front) = self.mqtt.get_mut(usize::from(owner - MQTT)) {
+                    front.ready(&mut self.poll, self.now, unix_ms, ready);
+                }
+            }
             _ => match self.signals.ready(ready.token) {
                 Some(Wish::Stop) => {
                     self.draining.get_or_insert(self.now);
                 }
-                Some(Wish::Print) => println!("{}", self.counters),
+                Some(Wish::Print) => say(&self.counters),
                 None => {}
             },
         }
@@ -160,8 +185,9 @@
     /// Carries everything to and fro until nothing is left to carry.
     fn settle(&mut self) {
         loop {
-            let (intake, reports) =
-                (std::mem::take(&mut self.front.intake), std::mem::take(&mut self.pool.reports));
+            let mut intake = std::mem::take(&mut self.thrift.intake);
+            self.mqtt.iter_mut().for_each(|f| intake.append(&mut f.intake));
+            let reports = std::mem::take(&mut self.pool.reports);
             if intake.is_empty() && reports.is_empty() && self.engine.commands.is_empty() {
                 return;
             }
@@ -175,7 +201,12 @@
             }
             for asked in intake {
                 match asked {
-                    Intake::Serve(ticket, sketch, body) => self.take(ticket, sketch, body),
+                    Intake::Serve { ticket, sketch, body, age_us, again } => {
+                        match job(&self.settings, sketch, body, age_us, again) {
+                            Ok(job) => self.engine.take(self.now, ticket, job),
+                            Err(invalid) => self.invalid(ticket, &invalid),
+                        }
+                    }
                     Intake::Forget(ticket) => self.engine.forget(self.now, ticket),
                 }
             }
@@ -195,14 +226,19 @@
             Command::Load { order, worker, function, copies } => {
                 self.pool.load(poll, now, order, &worker, &function, copies)
             }
-            Command::Answer { ticket, answer } => self.front.answer(poll, ticket, &answer),
+            Command::Answer { ticket, answer } => {
+                match self.mqtt.get_mut(usize::from(ticket.front.wrapping_sub(MQTT))) {
+                    Some(front) => front.answer(poll, now, ticket, answer),
+                    None => self.thrift.answer(poll, ticket, &answer),
+                }
+            }
         }
     }
 
-    fn take(&mut self, ticket: Ticket, sketch: Sketch, body: Vec<u8>) {
-        match job(&self.settings, sketch, body) {
-            Ok(job) => self.engine.take(self.now, ticket, job),
-            Err(invalid) => self.front.invalid(&self.poll, ticket, &invalid.to_string()),
+    fn invalid(&mut self, ticket: Ticket, invalid: &Invalid) {
+        match self.mqtt.get_mut(usize::from(ticket.front.wrapping_sub(MQTT))) {
+            Some(front) => front.invalid(&self.poll, self.now, ticket, invalid),
+            None => self.thrift.invalid(&self.poll, ticket, invalid),
         }
     }
 
@@ -211,17 +247,27 @@
         if self.now < since + GRACE {
             return false;
         }
-        self.front.stop_listening();
-        let settled = self.engine.owed() == 0 && !self.front.unsent();
-        settled || self.now >= since + PATIENCE
+        self.thrift.stop_listening();
+        self.mqtt.iter_mut().for_each(mqtt::Front::stop);
+        let settled =
+            self.engine.owed() == 0 && !self.thrift.unsent() && self.mqtt.iter().all(mqtt::Front::settled);
+        let over = settled || self.now >= since + PATIENCE;
+        if over {
+            self.mqtt.iter_mut().for_each(|f| f.leave(&self.poll));
+        }
+        over
     }
 }
 
 /// A request's figures with the settings' names looked up.
-fn job(settings: &Settings, sketch: Sketch, body: Vec<u8>) -> Result<Job, Invalid> {
+fn job(settings: &Settings, sketch: Sketch, body: Vec<u8>, age_us: u64, again: bool) -> Result<Job, Invalid> {
     let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
     let class = place(&settings.classes, &sketch.class);
     let class = class.ok_or(Invalid { field: "op", why: "is no class of the settings" })?;
+    // Danger: without its key a repeat of a keyed request is not dropped by anyone.
+    if settings.module.classes[class].effect == Effect::Deduplicated && sketch.key.is_none() {
+        return Err(Invalid { field: "dedupe", why: "is missing, and the class is keyed" });
+    }
     let tenant = match &sketch.tenant {
         Some(name) => place(&settings.tenants, name).ok_or(Invalid { field: "org", why: "is no tenant" })?,
         None => 0,
@@ -232,9 +278,10 @@
         function: sketch.function,
         lanes: sketch.lanes,
         load_time: sketch.load_us,
-        time_left: sketch.ttl_us.saturating_sub(MARGIN),
+        time_left: sketch.ttl_us.saturating_sub(age_us).saturating_sub(MARGIN),
         call: sketch.call,
         key: sketch.key,
         body,
+        repeat: again.then_some(age_us),
     })
 }
--- /dev/null
+++ b/tests/sockets/main.rs
@@ -0,0 +1,7 @@
+//! Starts the real program as a process and plays its clients, executors, name service and broker over sockets.
+
+mod agent;
+mod broker;
+mod mqtt;
+mod stand;
+mod thrift;
--- /dev/null
+++ b/tests/sockets/stand.rs
@@ -0,0 +1,421 @@
+//! Stand-ins for everything that a dispatcher talks to, and the dispatcher itself as a process.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Far longer than anything here takes: only a failure waits for it.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+pub const FUNCTION: &str = "7f3a9c21e0b4d655";
+
+/// Writes a file that no other test writes, and returns its path.
+pub fn file(text: &str) -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{number}", std::process::id()));
+    std::fs::write(&path, text).expect("a file to write");
+    path
+}
+
+// ---- The dispatcher ----
+
+/// The program, started as a process.
+pub struct Program {
+    pub child: Child,
+    /// What it says first, up to where it listens.
+    pub address: SocketAddr,
+    lines: Receiver<String>,
+}
+
+impl Program {
+    pub fn start(config: &Value) -> Program {
+        Program::run(&["run"], config)
+    }
+
+    pub fn run(words: &[&str], config: &Value) -> Program {
+        let path = file(&config.to_string());
+        let mut child = Command::new(env!("CARGO_BIN_EXE_ochreward"))
+            .args(words)
+            .env_remove("ROUTER_NAME")
+            .env_remove("ROUTER_LISTEN")
+            .env("ROUTER_CONFIG", path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let (tell, lines) = channel();
+        let stdout = BufReader::new(child.stdout.take().expect("piped"));
+        std::thread::spawn(move || stdout.lines().map_while(Result::ok).try_for_each(|line| tell.send(line)));
+        let first = lines.recv_timeout(PATIENCE).expect("a first line");
+        let address = first.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+        Program { child, address, lines }
+    }
+
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        let pid = rustix::process::Pid::from_raw(self.child.id() as i32).expect("a process");
+        rustix::process::kill_process(pid, signal).expect("a signal");
+    }
+
+    /// The next line that it prints.
+    pub fn line(&self) -> String {
+        self.lines.recv_timeout(PATIENCE).expect("a line")
+    }
+
+    /// Its counters, asked for by signal.
+    pub fn counters(&self) -> BTreeMap<String, u64> {
+        self.signal(rustix::process::Signal::USR1);
+        counters(&self.line())
+    }
+
+    /// Waits for its end after SIGTERM: the exit code, and the counters printed at exit.
+    pub fn end(mut self) -> (Option<i32>, BTreeMap<String, u64>) {
+        self.signal(rustix::process::Signal::TERM);
+        let last = self.line();
+        (self.child.wait().expect("an end").code(), counters(&last))
+    }
+
+    pub fn kill(mut self) {
+        self.child.kill().expect("killed");
+        self.child.wait().expect("an end");
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn counters(line: &str) -> BTreeMap<String, u64> {
+    let pairs = line.strip_prefix("counters ").unwrap_or_else(|| panic!("no counters: {line}"));
+    let pair = |p: &str| p.split_once('=').map(|(n, v)| (n.to_string(), v.parse().expect("a count")));
+    pairs.split(' ').filter_map(pair).collect()
+}
+
+/// A configuration with these executors known, all of them ready.
+pub fn config(executors: &[&Executor], names: &Names) -> Value {
+    let instance = |(i, e): (usize, &&Executor)| {
+        json!({"instanceId": format!("s{i}"), "hostPort": e.address.to_string(), "zone": "a", "machineType": "std",
+               "cell": 0, "lifecycle": "in_service", "weight": 4, "startedAtMs": 0})
+    };
+    let instances: Vec<Value> = executors.iter().enumerate().map(instance).collect();
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "effect": effect, "key_scope": "all", "promise_us": 800000, "deadline_us": 20000000,
+               "repeat_window_us": 10000000, "credit": 1.0, "late_worth": 0.2})
+    };
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "names": names.address.to_string(),
+        "known": {"offset": 1, "batch": [
+            {"offset": 1, "topology": {"generation": 1, "reset": true, "instances": instances}}]},
+        "settings": {
+            "balancers": 1, "me": 0, "my_zone": 0, "zones": ["a", "b"], "kinds": ["std"], "tick_us": 4000,
+            "lanes": [class("flow-read", "idempotent"), class("level-log", "deduplicated"),
+                      class("alert-send", "at_most_once")],
+            "orgs": [{"name": "acme", "quota_per_s": 1000.0}],
+            "limits": {"cancel": true, "may_duplicate": false, "send_cap": 3, "retry_after": true,
+                       "max_retry_after_us": 1000000, "connect_timeout_us": 1000000, "keepalive_us": 15000000,
+                       "streams_per_conn": 32, "max_open": 1000},
+            "rules": {"cold_share": 0.15, "fall_multiple": 2.0, "fall_us": 1500000, "warm_after_us": 14000000},
+            "family_info": {"keep_alive_us": 9300000, "tells_warm": true, "miss_mode": "load",
+                            "notes_peers_in_hand": true}}})
+}
+
+// ---- Executors ----
+
+/// A line that an executor was sent, and the connection it came on.
+pub struct Line {
+    pub value: Value,
+    pub connection: TcpStream,
+}
+
+impl Line {
+    pub fn verb(&self) -> &str {
+        self.value["verb"].as_str().unwrap_or_default()
+    }
+
+    pub fn answer(&mut self, verb: &str, attrs: Value, body: &[u8]) {
+        let content = STANDARD.encode(body);
+        let line = json!({"verb": verb, "rid": self.value["rid"], "attrs": attrs, "content": content});
+        writeln!(self.connection, "{line}").expect("an answer sent");
+    }
+
+    pub fn ok(&mut self, body: &[u8]) {
+        self.answer("OK", json!({"note": "up"}), body);
+    }
+
+    pub fn body(&self) -> Vec<u8> {
+        STANDARD.decode(self.value["content"].as_str().unwrap_or_default()).expect("base64")
+    }
+}
+
+/// An executor that leaves each line to the test.
+pub struct Executor {
+    pub address: SocketAddr,
+    lines: Receiver<Line>,
+}
+
+impl Executor {
+    pub fn start() -> Executor {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let (tell, lines) = channel();
+        std::thread::spawn(move || {
+            for connection in listener.incoming().map_while(Result::ok) {
+                let tell: Sender<Line> = tell.clone();
+                std::thread::spawn(move || {
+                    let reader = BufReader::new(connection.try_clone().expect("a connection"));
+                    for line in reader.lines().map_while(Result::ok) {
+                        let value = serde_json::from_str(&line).expect("JSON");
+                        let connection = connection.try_clone().expect("a connection");
+                        if tell.send(Line { value, connection }).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Executor { address, lines }
+    }
+
+    /// The next request; halts are passed over.
+    pub fn next(&self) -> Line {
+        loop {
+            let line = self.lines.recv_timeout(PATIENCE).expect("a line");
+            if line.verb() == "go" {
+                return line;
+            }
+        }
+    }
+
+    /// The requests that have come and were not asked for.
+    pub fn left(&self) -> usize {
+        self.lines.try_iter().filter(|l| l.verb() == "go").count()
+    }
+}
+
+// ---- The name service ----
+
+type List = Arc<Mutex<(u32, Vec<(String, SocketAddr, u16)>)>>;
+
+/// A name service that answers with a list of ids, addresses and priorities.
+pub struct Names {
+    pub address: SocketAddr,
+    list: List,
+    /// Answers nonsense to so many queries first.
+    pub nonsense: Arc<AtomicU32>,
+}
+
+impl Names {
+    pub fn start() -> Names {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+        let address = socket.local_addr().expect("an address");
+        let (list, nonsense) = (List::default(), Arc::new(AtomicU32::new(0)));
+        let (known, odd) = (list.clone(), nonsense.clone());
+        std::thread::spawn(move || {
+            let mut query = [0; 512];
+            while let Ok((size, from)) = socket.recv_from(&mut query) {
+                let (serial, list) = known.lock().expect("a list").clone();
+                let good = dns_answer(&query[..size], serial, &list);
+                if odd.load(Ordering::SeqCst) > 0 {
+                    odd.fetch_sub(1, Ordering::SeqCst);
+                    let _ = socket.send_to(&good[..good.len() / 2], from);
+                    let mut forged = good.clone();
+                    forged[0] ^= 0xff;
+                    let _ = socket.send_to(&forged, from);
+                    continue;
+                }
+                let _ = socket.send_to(&good, from);
+            }
+        });
+        Names { address, list, nonsense }
+    }
+
+    /// Sets the whole list.
+    pub fn set(&self, serial: u32, list: &[(&str, SocketAddr, u16)]) {
+        let list = list.iter().map(|(id, a, p)| (id.to_string(), *a, *p)).collect();
+        *self.list.lock().expect("a list") = (serial, list);
+    }
+}
+
+fn dns_answer(query: &[u8], serial: u32, list: &[(String, SocketAddr, u16)]) -> Vec<u8> {
+    let name = |name: &str| {
+        let mut out = Vec::new();
+        for label in name.split('.') {
+            out.push(label.len() as u8);
+            out.extend(label.bytes());
+        }
+        out.push(0);
+        out
+    };
+    let service = name("_back._tcp.pool.lan");
+    let mut out = query[..2].to_vec();
+    out.extend([0x84, 0, 0, 1]);
+    out.extend((list.len() as u16).to_be_bytes());
+    out.extend([0, 1]);
+    out.extend((2 * list.len() as u16).to_be_bytes());
+    out.extend(&query[12..12 + service.len() + 4]);
+    let record = |out: &mut Vec<u8>, owner: &[u8], kind: u8, data: &[u8]| {
+        out.extend(owner);
+        out.extend([0, kind, 0, 1, 0, 0, 0, 0]);
+        out.extend((data.len() as u16).to_be_bytes());
+        out.extend(data);
+    };
+    for (id, address, priority) in list {
+        let mut data = priority.to_be_bytes().to_vec();
+        data.extend([0, 40]);
+        data.extend(address.port().to_be_bytes());
+        data.extend(name(&format!("{id}.a.hosts")));
+        record(&mut out, &service, 33, &data);
+    }
+    let mut soa = vec![0, 0];
+    soa.extend(serial.to_be_bytes());
+    soa.extend([0; 16]);
+    record(&mut out, &service, 6, &soa);
+    for (id, _, _) in list {
+        let host = name(&format!("{id}.a.hosts"));
+        record(&mut out, &host, 1, &[127, 0, 0, 1]);
+        record(&mut out, &host, 16, b"\x08kind=std\x06cell=0\x09started=0");
+    }
+    out
+}
+
+// ---- Clients ----
+
+/// What a client was answered.
+#[derive(Debug, PartialEq)]
+pub enum Reply {
+    Served(Vec<u8>),
+    Well(bool),
+    Refused(BTreeMap<String, String>),
+    Failed,
+    Exception(String),
+}
+
+/// A client on a connection.
+pub struct Client {
+    pub stream: TcpStream,
+}
+
+fn string(out: &mut Vec<u8>, bytes: &[u8]) {
+    out.extend((bytes.len() as u32).to_be_bytes());
+    out.extend(bytes);
+}
+
+fn call(kind: u8, method: &str, seq: i32, arguments: &[u8]) -> Vec<u8> {
+    let mut message = vec![0x80, 1, 0, kind];
+    string(&mut message, method.as_bytes());
+    message.extend(seq.to_be_bytes());
+    message.extend(arguments);
+    let mut out = Vec::new();
+    string(&mut out, &message);
+    out
+}
+
+/// The fields of a request.
+pub fn fields(class: &str, id: &str, ttl_ms: u64) -> BTreeMap<String, String> {
+    let mut fields: BTreeMap<String, String> = [
+        ("op", class),
+        ("call", id),
+        ("ttl", &ttl_ms.to_string()),
+        ("org", "acme"),
+        ("row", FUNCTION),
+        ("info", "memory_mb:512;lanes:2;load_ms:640"),
+    ]
+    .map(|(n, v)| (n.to_string(), v.to_string()))
+    .into();
+    if class == "level-log" {
+        fields.insert("dedupe".to_string(), "5c0f6e1a2b3d4c59a8b7c6d5e4f30211".to_string());
+    }
+    fields
+}
+
+impl Client {
+    pub fn connect(to: SocketAddr) -> Client {
+        let stream = TcpStream::connect(to).expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Client { stream }
+    }
+
+    pub fn serve(&mut self, seq: i32, fields: &BTreeMap<String, String>, body: &[u8]) {
+        let mut out = vec![13, 0, 1, 11, 11];
+        out.extend((fields.len() as u32).to_be_bytes());
+        for (name, value) in fields {
+            string(&mut out, name.as_bytes());
+            string(&mut out, value.as_bytes());
+        }
+        out.extend([11, 0, 2]);
+        string(&mut out, body);
+        out.push(0);
+        self.stream.write_all(&call(1, "serve", seq, &out)).expect("sent");
+    }
+
+    pub fn forget(&mut self, own: i32, seq: i32) {
+        let mut out = vec![8, 0, 1];
+        out.extend(seq.to_be_bytes());
+        out.push(0);
+        self.stream.write_all(&call(4, "forget", own, &out)).expect("sent");
+    }
+
+    pub fn other(&mut self, method: &str, seq: i32) {
+        self.stream.write_all(&call(1, method, seq, &[2, 0, 1, 1, 0])).expect("sent");
+    }
+
+    /// The next answer, or none once the connection has ended.
+    pub fn receive(&mut self) -> Option<(i32, Reply)> {
+        let mut size = [0; 4];
+        self.stream.read_exact(&mut size).ok()?;
+        let mut message = vec![0; u32::from_be_bytes(size) as usize];
+        self.stream.read_exact(&mut message).expect("a whole answer");
+        let mut rest = &message[..];
+        let mut take = |count: usize| {
+            let (head, tail) = rest.split_at(count);
+            rest = tail;
+            head.to_vec()
+        };
+        let number = |bytes: &[u8]| u32::from_be_bytes(bytes.try_into().expect("four bytes"));
+        let kind = take(4)[3];
+        let size = number(&take(4)) as usize;
+        let method = take(size);
+        let seq = number(&take(4)) as i32;
+        let text = |take: &mut dyn FnMut(usize) -> Vec<u8>| {
+            let size = number(&take(4)) as usize;
+            take(size)
+        };
+        let head = take(3);
+        if kind == 3 {
+            return Some((seq, Reply::Exception(String::from_utf8(text(&mut take)).expect("text"))));
+        }
+        assert_eq!((kind, head[0]), (2, 12), "a reply that holds a struct");
+        let reply = match head[2] {
+            0 => {
+                take(3);
+                let body = text(&mut take);
+                // The map of fields, and the flag.
+                let end = take(3 + 6 + 3 + 1 + 2);
+                if method == b"isWell" { Reply::Well(end[12] == 1) } else { Reply::Served(body) }
+            }
+            1 => {
+                take(3 + 2);
+                let count = number(&take(4));
+                let mut pair = || (text(&mut take), text(&mut take));
+                let pairs = (0..count).map(|_| pair());
+                let utf8 = |bytes: Vec<u8>| String::from_utf8(bytes).expect("text");
+                Reply::Refused(pairs.map(|(n, v)| (utf8(n), utf8(v))).collect())
+            }
+            _ => Reply::Failed,
+        };
+        Some((seq, reply))
+    }
+}
--- /dev/null
+++ b/tests/sockets/thrift.rs
@@ -0,0 +1,304 @@
+//! The platform's front: one test a promise of the protocol, or a failure that was found or foreseen.
+
+use crate::stand::{Client, Executor, Names, PATIENCE, Program, Reply, config, fields};
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener};
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+const LONG: u64 = 20_000;
+
+fn id(n: u64) -> String {
+    format!("{n:016x}")
+}
+
+/// A dispatcher with one executor, and a client of it.
+fn bed() -> (Program, Executor, Names, Client) {
+    let (executor, names) = (Executor::start(), Names::start());
+    let program = Program::start(&config(&[&executor], &names));
+    let client = Client::connect(program.address);
+    (program, executor, names, client)
+}
+
+#[test]
+fn a_request_is_passed_on_unchanged_and_its_answer_back() {
+    let (program, executor, _names, mut client) = bed();
+    client.serve(1, &fields("level-log", &id(1), LONG), b"\x00reading\xff");
+    let mut line = executor.next();
+    let wait = line.value["attrs"]["w"].take();
+    assert!(wait.as_u64().is_some_and(|w| w < LONG && w > LONG - 5_000), "{wait}");
+    assert_eq!(line.body(), b"\x00reading\xff");
+    insta::assert_snapshot!(line.value, @r#"{"attrs":{"c":"level-log","i":"5c0f6e1a2b3d4c59a8b7c6d5e4f30211","k":"7f3a9c21e0b4d655","w":null},"content":"AHJlYWRpbmf/","rid":"0000000000000001","verb":"go"}"#);
+    line.ok(b"\xfeflow\x00");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"\xfeflow\x00".to_vec()))));
+    let (code, counters) = program.end();
+    assert_eq!(code, Some(0));
+    assert_eq!(
+        (counters["requests_taken"], counters["attempts_sent"], counters["answers_served"]),
+        (1, 1, 1)
+    );
+}
+
+#[test]
+fn answers_come_in_any_order_on_one_connection() {
+    let (_program, executor, _names, mut client) = bed();
+    for seq in 1..=3 {
+        client.serve(seq, &fields("flow-read", &id(seq as u64), LONG), &[seq as u8]);
+    }
+    let mut lines = [executor.next(), executor.next(), executor.next()];
+    for line in lines.iter_mut().rev() {
+        let body = line.body();
+        line.ok(&body);
+    }
+    let mut got: Vec<_> = (0..3).map(|_| client.receive().expect("an answer")).collect();
+    got.sort_by_key(|(seq, _)| *seq);
+    let want: Vec<_> = (1..=3).map(|seq| (seq, Reply::Served(vec![seq as u8]))).collect();
+    assert_eq!(got, want);
+}
+
+#[test]
+fn a_health_check_is_answered_and_an_unknown_method_is_an_exception() {
+    let (_program, _executor, _names, mut client) = bed();
+    client.other("isWell", 1);
+    assert_eq!(client.receive(), Some((1, Reply::Well(true))));
+    client.other("isBetter", 2);
+    assert_eq!(client.receive(), Some((2, Reply::Exception("no such method".to_string()))));
+}
+
+#[test]
+fn unusable_fields_are_named_and_nothing_is_sent() {
+    let (program, executor, _names, mut client) = bed();
+    let bad =
+        [("op", "no-class"), ("ttl", "soon"), ("row", "7"), ("call", ""), ("org", "nobody"), ("info", "x")];
+    for (seq, (name, value)) in (1..).zip(bad) {
+        let mut fields = fields("flow-read", &id(1), LONG);
+        fields.insert(name.to_string(), value.to_string());
+        client.serve(seq, &fields, b"");
+        let Some((got, Reply::Exception(text))) = client.receive() else { panic!("no exception for {name}") };
+        assert!(got == seq && text.contains(&format!("'{name}'")), "{text}");
+    }
+    assert_eq!((program.counters()["requests_invalid"], executor.left()), (6, 0));
+}
+
+#[test]
+fn nonsense_closes_its_connection_and_no_other() {
+    let (program, executor, _names, mut client) = bed();
+    for nonsense in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0, 0, 0, 4, 1, 2, 3, 4], &[0xff; 64]] {
+        let mut other = Client::connect(program.address);
+        other.stream.write_all(nonsense).expect("sent");
+        assert_eq!(other.receive(), None);
+    }
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    executor.next().ok(b"fine");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"fine".to_vec()))));
+    assert_eq!(program.counters()["clients_malformed"], 3);
+}
+
+#[test]
+fn a_request_is_answered_before_its_client_gives_up_and_a_late_answer_is_dropped() {
+    let (program, executor, _names, mut client) = bed();
+    let began = Instant::now();
+    client.serve(1, &fields("alert-send", &id(1), 1_500), b"");
+    let mut line = executor.next();
+    // An attempt may have run: the answer is a failure, not a refusal.
+    assert_eq!(client.receive(), Some((1, Reply::Failed)));
+    assert!(began.elapsed().as_millis() >= 1_400, "{:?}", began.elapsed());
+    line.ok(b"too late");
+    client.other("isWell", 2);
+    assert_eq!(client.receive(), Some((2, Reply::Well(true))));
+    let (_, counters) = program.end();
+    assert_eq!(
+        (counters["ended_timeout"], counters["answers_failed"], counters["answers_served"]),
+        (1, 1, 0)
+    );
+}
+
+#[test]
+fn a_request_without_time_is_refused_at_once_with_a_pushback() {
+    let (_program, executor, _names, mut client) = bed();
+    client.serve(1, &fields("alert-send", &id(1), 20), b"");
+    let Some((1, Reply::Refused(fields))) = client.receive() else { panic!("no refusal") };
+    assert!(fields["pushback"].parse::<u64>().is_ok(), "{fields:?}");
+    assert_eq!(executor.left(), 0);
+}
+
+#[test]
+fn a_forgotten_request_gets_no_answer() {
+    let (program, executor, _names, mut client) = bed();
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    let mut line = executor.next();
+    client.forget(2, 1);
+    client.other("isWell", 3);
+    assert_eq!(client.receive(), Some((3, Reply::Well(true))));
+    line.ok(b"dropped");
+    client.serve(4, &fields("flow-read", &id(2), LONG), b"");
+    executor.next().ok(b"kept");
+    assert_eq!(client.receive(), Some((4, Reply::Served(b"kept".to_vec()))));
+    assert_eq!(program.counters()["requests_forgotten"], 1);
+}
+
+#[test]
+fn an_alert_is_sent_again_only_where_nothing_ran() {
+    let (_program, executor, _names, mut client) = bed();
+    // MISS and BUSY prove that nothing ran.
+    for (seq, verb) in [(1, "MISS"), (2, "BUSY")] {
+        client.serve(seq, &fields("alert-send", &id(seq as u64), LONG), b"");
+        executor.next().answer(verb, json!({}), b"");
+        executor.next().ok(b"once");
+        assert_eq!(client.receive(), Some((seq, Reply::Served(b"once".to_vec()))), "{verb}");
+    }
+    // ERR, a word that is unknown, and a connection that breaks do not.
+    for (seq, verb) in [(3, "ERR"), (4, "EH")] {
+        client.serve(seq, &fields("alert-send", &id(seq as u64), LONG), b"");
+        executor.next().answer(verb, json!({}), b"");
+        assert_eq!(client.receive(), Some((seq, Reply::Failed)), "{verb}");
+    }
+    client.serve(5, &fields("alert-send", &id(5), LONG), b"");
+    executor.next().connection.shutdown(Shutdown::Both).expect("broken");
+    assert_eq!(client.receive(), Some((5, Reply::Failed)));
+    client.serve(6, &fields("alert-send", &id(6), LONG), b"");
+    writeln!(executor.next().connection, "no JSON").expect("sent");
+    assert_eq!(client.receive(), Some((6, Reply::Failed)));
+    assert_eq!(executor.left(), 0);
+}
+
+#[test]
+fn an_executor_that_refuses_connections_costs_a_request_nothing() {
+    let (executor, names) = (Executor::start(), Names::start());
+    let closed = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let mut config = config(&[&executor, &executor], &names);
+    config["known"]["batch"][0]["topology"]["instances"][1]["hostPort"] = json!(closed.to_string());
+    let program = Program::start(&config);
+    let mut client = Client::connect(program.address);
+    for seq in 1..=20 {
+        client.serve(seq, &fields("alert-send", &id(seq as u64), LONG), b"");
+        executor.next().ok(b"once");
+        assert_eq!(client.receive(), Some((seq, Reply::Served(b"once".to_vec()))));
+    }
+}
+
+#[test]
+fn what_waits_for_a_connection_is_withdrawn_when_its_executor_drains() {
+    // A listener whose queue of connections is full answers no more: connects to it hang.
+    let hung = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = hung.local_addr().expect("an address");
+    let mut fill = Vec::new();
+    while let Ok(stream) =
+        std::net::TcpStream::connect_timeout(&address, std::time::Duration::from_millis(200))
+    {
+        fill.push(stream);
+        assert!(fill.len() < 100_000, "the queue never fills");
+    }
+    let (executor, names) = (Executor::start(), Names::start());
+    let mut config = config(&[&executor], &names);
+    config["known"]["batch"][0]["topology"]["instances"][0]["hostPort"] = json!(address.to_string());
+    config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
+    let program = Program::start(&config);
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("alert-send", &id(1), LONG), b"");
+    client.other("isWell", 2);
+    assert_eq!(client.receive(), Some((2, Reply::Well(true))));
+    // The request waits for its connection. Told of the drain, it goes to the other executor at once.
+    names.set(2, &[("s0", address, 1), ("s1", executor.address, 0)]);
+    executor.next().ok(b"elsewhere");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"elsewhere".to_vec()))));
+    assert_eq!(program.counters()["attempts_withdrawn"], 1);
+}
+
+#[test]
+fn the_list_is_followed_through_lost_cut_and_forged_answers() {
+    let (old, new, names) = (Executor::start(), Executor::start(), Names::start());
+    names.set(2, &[("s9", new.address, 0)]);
+    names.nonsense.store(3, Ordering::SeqCst);
+    let program = Program::start(&config(&[&old], &names));
+    let mut client = Client::connect(program.address);
+    let began = Instant::now();
+    while program.counters()["lists_applied"] == 0 {
+        assert!(began.elapsed() < PATIENCE, "the list is never read");
+    }
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    new.next().ok(b"new");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"new".to_vec()))));
+    assert_eq!(old.left(), 0);
+    assert!(program.counters()["dns_dropped"] >= 3);
+}
+
+#[test]
+fn a_new_id_at_the_address_of_one_that_went_gets_connections_of_its_own() {
+    let (executor, names) = (Executor::start(), Names::start());
+    let program = Program::start(&config(&[&executor], &names));
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    let mut first = executor.next();
+    first.ok(b"");
+    client.receive();
+    names.set(2, &[("s7", executor.address, 0)]);
+    // The connection to the old id ends; what comes afterwards comes on another.
+    let mut rest = [0; 1];
+    first.connection.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    assert_eq!(
+        first.connection.peer_addr().is_ok().then(|| first.connection.read(&mut rest).ok()),
+        Some(Some(0))
+    );
+    client.serve(2, &fields("flow-read", &id(2), LONG), b"");
+    let mut second = executor.next();
+    second.ok(b"");
+    client.receive();
+    assert_ne!(first.connection.peer_addr().ok(), second.connection.peer_addr().ok());
+}
+
+#[test]
+fn after_sigterm_new_connections_are_served_and_all_is_settled() {
+    let (mut program, executor, _names, mut client) = bed();
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    let mut held = executor.next();
+    program.signal(rustix::process::Signal::TERM);
+    let mut late = Client::connect(program.address);
+    late.serve(1, &fields("flow-read", &id(2), LONG), b"");
+    executor.next().ok(b"late");
+    assert_eq!(late.receive(), Some((1, Reply::Served(b"late".to_vec()))));
+    // The first is still owed: the program waits for it.
+    held.ok(b"held");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"held".to_vec()))));
+    assert_eq!(program.child.wait().expect("an end").code(), Some(0));
+}
+
+#[test]
+fn clients_beyond_their_share_of_descriptors_push_out_idle_ones_and_all_are_served() {
+    let (executor, names) = (Executor::start(), Names::start());
+    let mut config = config(&[&executor], &names);
+    config["limits"]["sockets"] = json!(96);
+    let program = Program::start(&config);
+    let mut clients: Vec<Client> = (0..200).map(|_| Client::connect(program.address)).collect();
+    let last = clients.last_mut().expect("a client");
+    last.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    executor.next().ok(b"served");
+    assert_eq!(last.receive(), Some((1, Reply::Served(b"served".to_vec()))));
+    let counters = program.counters();
+    assert!(counters["clients_evicted"] >= 100, "{counters:?}");
+}
+
+#[test]
+fn a_faulty_configuration_names_its_key() {
+    let names = Names::start();
+    let good = config(&[], &names);
+    let faults = [
+        ("/settings/lanes/1/effect", json!("twice"), "settings.lanes[1].effect"),
+        ("/listen", json!("nowhere"), "listen"),
+        ("/limits/sockets", json!(1), "limits.sockets"),
+        ("/known/batch", json!({}), "known.batch"),
+        ("/settings/limits/send_cap", json!(-1), "settings.limits.send_cap"),
+    ];
+    for (pointer, value, key) in faults {
+        let mut bad = good.clone();
+        *bad.pointer_mut(pointer).expect("a key") = value;
+        let path = crate::stand::file(&bad.to_string());
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_ochreward"))
+            .env("ROUTER_CONFIG", path)
+            .output()
+            .expect("the program runs");
+        let message = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && message.contains(&format!("key '{key}'")), "{key}: {message}");
+    }
+}
