Test limits and silence over sockets; never evict a connection just used

Seen: of 60 connections under a limit of 24 descriptors, ones accepted a moment before were closed for want of room, a request perhaps on its way. Front::evict took any connection with nothing open as idle; now it must have been so for 250 ms, and else accepting pauses for 50 ms. Seen: keepalive_us of 1 s left no time at all for an idle connection to an executor, since IDLE_MARGIN took all of it; it now takes a quarter at most.

--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -12,7 +12,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// A connection idle for longer than the executors' limit less this is not used: they may be closing it.
+/// A connection idle for longer than the executors' limit less this is not used: they may be closing it. A short
+/// limit is cut by a quarter at the most.
 const IDLE_MARGIN: u64 = 1_000_000;
 /// A connection on which something was sent this long ago, and nothing heard since, gets nothing new: its machine
 /// may have vanished, which only a new connection shows.
@@ -39,6 +40,13 @@
     pub tells_crowd: bool,
 }
 
+impl Limits {
+    /// How long an idle connection is kept.
+    fn idle(&self) -> u64 {
+        self.keepalive - IDLE_MARGIN.min(self.keepalive / 4)
+    }
+}
+
 /// What came of something sent.
 #[derive(Debug)]
 pub enum Report {
@@ -186,7 +194,7 @@
             !peer.closing
                 && peer.awaiting() < limits.streams
                 && !peer.open.contains_key(rid)
-                && (!peer.open.is_empty() || now < peer.used + limits.keepalive.saturating_sub(IDLE_MARGIN))
+                && (!peer.open.is_empty() || now < peer.used + limits.idle())
                 && peer.unheard.is_none_or(|since| now < since + SILENT)
                 && link.io.unsent() + line.len() <= MOST_UNSENT
         };
@@ -327,7 +335,7 @@
 
     /// Ends what has waited too long: connections that do not come up, and idle ones before the executors do.
     pub fn advance(&mut self, now: u64) {
-        let idle = self.limits.keepalive.saturating_sub(IDLE_MARGIN);
+        let idle = self.limits.idle();
         let connect = self.limits.connect_timeout;
         let mut over = Vec::new();
         for (slot, link) in &mut self.links {
@@ -347,7 +355,7 @@
 
     /// When `advance` next has something to do.
     pub fn due(&self) -> Option<u64> {
-        let idle = self.limits.keepalive.saturating_sub(IDLE_MARGIN);
+        let idle = self.limits.idle();
         let of = |(_, l): (usize, &Link<Peer>)| match (l.io.connecting(), l.peer.awaiting()) {
             (true, _) => l.peer.begun + self.limits.connect_timeout,
             (false, 0) => l.peer.used + idle,
--- a/src/front/thrift/front.rs
+++ b/src/front/thrift/front.rs
@@ -21,6 +21,8 @@
 const STALLED: u64 = 10_000_000;
 /// A connection with nothing open on it is closed after this long.
 const IDLE: u64 = 60_000_000;
+/// One idle for this long may be closed sooner, where another waits for its place.
+const EVICTABLE: u64 = 250_000;
 /// After running out of descriptors accepting stops for this long.
 const PAUSE: u64 = 50_000;
 /// How often connections are looked through for those that stalled.
@@ -150,7 +152,7 @@
 
     fn accept(&mut self, poll: &mut Poll, now: u64) {
         loop {
-            if self.links.len() >= self.limits.connections && !self.evict() {
+            if self.links.len() >= self.limits.connections && !self.evict(now) {
                 return self.pause(poll, now);
             }
             let Some(listener) = &self.listener else { return };
@@ -166,7 +168,7 @@
                     }
                 }
                 Accepted::None => return,
-                Accepted::OutOfDescriptors if self.evict() => {}
+                Accepted::OutOfDescriptors if self.evict(now) => {}
                 Accepted::OutOfDescriptors => return self.pause(poll, now),
             }
         }
@@ -182,11 +184,13 @@
     }
 
     /// Closes the connection that has been idle longest, if one has nothing open.
-    fn evict(&mut self) -> bool {
-        let idle = |l: &Link<Client>| l.peer.open.is_empty() && l.io.unsent() == 0 && l.io.unread() == 0;
-        // Danger: many come in one turn, at one time; the newest, whose request is on its way, must not go first.
-        let age = |l: &Link<Client>| (l.peer.used, l.io.token().serial);
-        let oldest = self.links.iter().filter(|(_, l)| idle(l)).min_by_key(|(_, l)| age(l));
+    fn evict(&mut self, now: u64) -> bool {
+        // Danger: a request may be on its way on a connection that has just been accepted or used.
+        let idle = |l: &Link<Client>| {
+            let quiet = l.peer.open.is_empty() && l.io.unsent() == 0 && l.io.unread() == 0;
+            quiet && now >= l.peer.used + EVICTABLE
+        };
+        let oldest = self.links.iter().filter(|(_, l)| idle(l)).min_by_key(|(_, l)| l.peer.used);
         let Some(slot) = oldest.map(|(slot, _)| slot) else { return false };
         count(&self.counters.clients_evicted);
         self.close(slot, Closed::Broken);
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -213,11 +213,6 @@
         self.peer.received(&mut self.io.input, out).map_err(|m| Closed::Malformed(m.0))
     }
 
-    /// Reads on in what had come while the peer was left to wait.
-    pub fn resume(&mut self, out: &mut C::Out) -> Result<(), Closed> {
-        if self.io.input.is_empty() { Ok(()) } else { self.parse(out) }
-    }
-
     /// Sends what can be sent and waits for what is left.
     pub fn flush(&mut self, poll: &Poll) -> Result<(), Closed> {
         self.io.flush()?;
--- a/tests/sockets/stand.rs
+++ b/tests/sockets/stand.rs
@@ -43,9 +43,21 @@
     }
 
     pub fn run(words: &[&str], config: &Value) -> Program {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ochreward"));
+        command.args(words);
+        Program::spawn(command, config)
+    }
+
+    /// With so many descriptors and no more.
+    pub fn limited(descriptors: u32, config: &Value) -> Program {
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", &format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_ochreward"))]);
+        Program::spawn(command, config)
+    }
+
+    fn spawn(mut command: Command, config: &Value) -> Program {
         let path = file(&config.to_string());
-        let mut child = Command::new(env!("CARGO_BIN_EXE_ochreward"))
-            .args(words)
+        let mut child = command
             .env_remove("ROUTER_NAME")
             .env_remove("ROUTER_LISTEN")
             .env("ROUTER_CONFIG", path)
@@ -313,7 +325,8 @@
     out.extend(bytes);
 }
 
-fn call(kind: u8, method: &str, seq: i32, arguments: &[u8]) -> Vec<u8> {
+/// A framed message.
+pub fn call(kind: u8, method: &str, seq: i32, arguments: &[u8]) -> Vec<u8> {
     let mut message = vec![0x80, 1, 0, kind];
     string(&mut message, method.as_bytes());
     message.extend(seq.to_be_bytes());
--- a/tests/sockets/thrift.rs
+++ b/tests/sockets/thrift.rs
@@ -1,11 +1,11 @@
 //! The platform's front: one test a promise of the protocol, or a failure that was found or foreseen.
 
-use crate::stand::{Client, Executor, Names, PATIENCE, Program, Reply, config, fields};
+use crate::stand::{Client, Executor, Names, PATIENCE, Program, Reply, call, config, fields};
 use serde_json::json;
-use std::io::{Read, Write};
-use std::net::{Shutdown, TcpListener};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 const LONG: u64 = 20_000;
 
@@ -13,6 +13,18 @@
     format!("{n:016x}")
 }
 
+/// An address to which connections hang: a listener that accepts none, its queue full. It lives with the rest.
+fn hung() -> (SocketAddr, (TcpListener, Vec<TcpStream>)) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let mut fill = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
+        fill.push(stream);
+        assert!(fill.len() < 100_000, "the queue never fills");
+    }
+    (address, (listener, fill))
+}
+
 /// A dispatcher with one executor, and a client of it.
 fn bed() -> (Program, Executor, Names, Client) {
     let (executor, names) = (Executor::start(), Names::start());
@@ -180,16 +192,7 @@
 
 #[test]
 fn what_waits_for_a_connection_is_withdrawn_when_its_executor_drains() {
-    // A listener whose queue of connections is full answers no more: connects to it hang.
-    let hung = TcpListener::bind("127.0.0.1:0").expect("a listener");
-    let address = hung.local_addr().expect("an address");
-    let mut fill = Vec::new();
-    while let Ok(stream) =
-        std::net::TcpStream::connect_timeout(&address, std::time::Duration::from_millis(200))
-    {
-        fill.push(stream);
-        assert!(fill.len() < 100_000, "the queue never fills");
-    }
+    let (address, _fill) = hung();
     let (executor, names) = (Executor::start(), Names::start());
     let mut config = config(&[&executor], &names);
     config["known"]["batch"][0]["topology"]["instances"][0]["hostPort"] = json!(address.to_string());
@@ -279,6 +282,131 @@
     assert!(counters["clients_evicted"] >= 100, "{counters:?}");
 }
 
+#[test]
+fn a_connection_that_does_not_come_up_in_time_proves_that_nothing_ran() {
+    let (hung, _fill) = hung();
+    let (executor, names) = (Executor::start(), Names::start());
+    let mut config = config(&[&executor, &executor], &names);
+    config["known"]["batch"][0]["topology"]["instances"][0]["hostPort"] = json!(hung.to_string());
+    config["settings"]["limits"]["connect_timeout_us"] = json!(50_000);
+    let program = Program::start(&config);
+    let mut client = Client::connect(program.address);
+    // Wherever each goes first, it is served once: an alert is sent again where no connection came up.
+    for seq in 1..=8 {
+        client.serve(seq, &fields("alert-send", &id(seq as u64), LONG), b"");
+        executor.next().ok(b"once");
+        assert_eq!(client.receive(), Some((seq, Reply::Served(b"once".to_vec()))));
+    }
+    assert!(program.counters()["executor_connects_failed"] > 0);
+}
+
+#[test]
+fn a_connection_carries_no_more_requests_than_the_settings_say() {
+    let (executor, names) = (Executor::start(), Names::start());
+    let mut config = config(&[&executor], &names);
+    config["settings"]["limits"]["streams_per_conn"] = json!(2);
+    let program = Program::start(&config);
+    let mut client = Client::connect(program.address);
+    for seq in 1..=3 {
+        client.serve(seq, &fields("flow-read", &id(seq as u64), LONG), b"");
+    }
+    let mut lines = [executor.next(), executor.next(), executor.next()];
+    let mut peers: Vec<_> = lines.iter().map(|l| l.connection.peer_addr().expect("a peer")).collect();
+    peers.sort();
+    peers.dedup();
+    assert_eq!(peers.len(), 2);
+    lines.iter_mut().for_each(|l| l.ok(b""));
+    (0..3).for_each(|_| assert!(matches!(client.receive(), Some((_, Reply::Served(_))))));
+}
+
+#[test]
+fn an_idle_connection_is_closed_before_the_executor_would_and_not_used_again() {
+    let (executor, names) = (Executor::start(), Names::start());
+    let mut config = config(&[&executor], &names);
+    config["settings"]["limits"]["keepalive_us"] = json!(1_000_000);
+    let program = Program::start(&config);
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    let mut first = executor.next();
+    first.ok(b"");
+    client.receive();
+    assert_eq!(program.counters()["executor_idle_closed"], 0);
+    let began = Instant::now();
+    while program.counters()["executor_idle_closed"] == 0 {
+        assert!(began.elapsed() < PATIENCE, "never closed");
+    }
+    client.serve(2, &fields("flow-read", &id(2), LONG), b"");
+    let mut second = executor.next();
+    second.ok(b"");
+    assert_eq!(client.receive(), Some((2, Reply::Served(vec![]))));
+}
+
+#[test]
+fn a_silent_connection_gets_nothing_new() {
+    let (executor, names) = (Executor::start(), Names::start());
+    let program = Program::start(&config(&[&executor], &names));
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("alert-send", &id(1), 3_000), b"");
+    let silent = executor.next();
+    // Nothing is heard until its time is over: the machine may have vanished, which only a new connection shows.
+    assert_eq!(client.receive(), Some((1, Reply::Failed)));
+    client.serve(2, &fields("flow-read", &id(2), LONG), b"");
+    let mut next = executor.next();
+    assert_ne!(silent.connection.peer_addr().ok(), next.connection.peer_addr().ok());
+    next.ok(b"heard");
+    assert_eq!(client.receive(), Some((2, Reply::Served(b"heard".to_vec()))));
+}
+
+#[test]
+fn a_client_that_takes_no_answers_is_left_to_wait_and_loses_none() {
+    let (program, _executor, _names, mut client) = bed();
+    // It asks on and takes nothing, until it is not read from any more: a write that makes no way for a second.
+    client.stream.set_write_timeout(Some(Duration::from_secs(1))).expect("a time-out");
+    let (mut count, mut left) = (0, vec![]);
+    while left.is_empty() {
+        assert!(count < 3_000_000, "it is read from without end");
+        count += 1;
+        left = call(1, "isWell", count, &[2, 0, 1, 1, 0]);
+        while !left.is_empty() {
+            match client.stream.write(&left) {
+                Ok(size) => drop(left.drain(..size)),
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => break,
+                Err(e) => panic!("closed after {count} calls: {e}"),
+            }
+        }
+    }
+    let mut other = Client::connect(program.address);
+    other.other("isWell", 1);
+    assert_eq!(other.receive(), Some((1, Reply::Well(true))));
+    let mut asking = client.stream.try_clone().expect("a connection");
+    let rest = std::thread::spawn(move || {
+        asking.set_write_timeout(None).expect("no time-out");
+        asking.write_all(&left)
+    });
+    for seq in 1..=count {
+        assert_eq!(client.receive(), Some((seq, Reply::Well(true))));
+    }
+    assert!(rest.join().expect("the rest asked").is_ok());
+    let counters = program.counters();
+    assert_eq!((counters["answers_lost"], counters["clients_closed"]), (0, 0));
+}
+
+#[test]
+fn running_out_of_descriptors_is_survived() {
+    let (executor, names) = (Executor::start(), Names::start());
+    // The configuration promises more than the system gives.
+    let program = Program::limited(24, &config(&[&executor], &names));
+    let mut clients: Vec<Client> = (0..60).map(|_| Client::connect(program.address)).collect();
+    let last = clients.last_mut().expect("a client");
+    last.other("isWell", 1);
+    assert_eq!(last.receive(), Some((1, Reply::Well(true))));
+    clients.truncate(1);
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    executor.next().ok(b"served");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"served".to_vec()))));
+}
+
 #[test]
 fn a_faulty_configuration_names_its_key() {
     let names = Names::start();
