--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,6 +3,7 @@
 //! Fronts hand in requests under a ticket; the engine asks the [`Router`] and leaves [`Command`]s. It owes one
 //! final answer for each request that it took, and settles that debt by the deadline whatever else happens.
 
+mod attempt;
 mod timers;
 
 use crate::api::{
@@ -16,6 +17,8 @@
 use std::sync::Arc;
 use timers::{Due, Timers};
 
+pub use attempt::{AttemptId, Ended};
+
 /// Where a request came from and its answer goes: a front, a connection of it, and a number there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ticket {
@@ -63,35 +66,6 @@
     Failed(&'static str),
 }
 
-/// One attempt: the request and the attempt's number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct AttemptId {
-    /// The request.
-    pub request: RequestId,
-    /// The number, from 0.
-    pub number: usize,
-}
-
-/// What an attempt came to.
-#[derive(Clone, Debug)]
-pub struct Ended {
-    /// How it ended.
-    pub outcome: Outcome,
-    /// What it found.
-    pub found: Found,
-    /// Requests for the function that the worker held, where told.
-    pub crowd: Option<u32>,
-    /// The answer's body, where it ended well.
-    pub body: Vec<u8>,
-}
-
-impl Ended {
-    /// An end that tells nothing but how.
-    pub fn bare(outcome: Outcome) -> Ended {
-        Ended { outcome, found: Found::Untold, crowd: None, body: Vec::new() }
-    }
-}
-
 /// What the engine wants done.
 #[derive(Debug)]
 pub enum Command {
--- a/src/core/timers.rs
+++ b/src/core/timers.rs
@@ -1,7 +1,7 @@
 //! Timers, earliest first. Of those due at one time, attempts end before the module is woken, and the engine's
 //! own guard on deadlines comes last.
 
-use super::AttemptId;
+use super::attempt::AttemptId;
 use crate::api::{Micros, RequestId};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -167,6 +167,17 @@
         let Some((slot, rid)) = self.attempts.remove(&id) else { return };
         let Some(link) = self.links.get_mut(slot) else { return };
         let Some(entry) = link.peer.open.get_mut(&rid) else { return };
+        let Entry { begins, ends, .. } = *entry;
+        if link.io.unqueue(begins, ends) {
+            // Danger: a line that is still queued would go out, and run, long after its request was over.
+            count(&self.counters.attempts_withdrawn);
+            link.peer.open.remove(&rid);
+            for later in link.peer.open.values_mut().filter(|e| e.begins >= ends) {
+                later.begins -= ends - begins;
+                later.ends -= ends - begins;
+            }
+            return;
+        }
         count(&self.counters.attempts_cancelled);
         entry.purpose = Purpose::Halted;
         entry.at = now;
@@ -194,7 +205,7 @@
             !peer.closing
                 && peer.awaiting() < limits.streams
                 && !peer.open.contains_key(rid)
-                && (!peer.open.is_empty() || now < peer.used + limits.idle())
+                && (peer.awaiting() > 0 || now < peer.used + limits.idle())
                 && peer.unheard.is_none_or(|since| now < since + SILENT)
                 && link.io.unsent() + line.len() <= MOST_UNSENT
         };
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -9,6 +9,9 @@
 /// Reads a turn from one connection, so that none holds up the others.
 const READS: usize = 4;
 
+/// Bytes that the system may hold for the peer of a connection of ours.
+const SEND_BUFFER: usize = 64 * 1024;
+
 /// The peer sent what no well-behaved one sends; says what.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Malformed(pub &'static str);
@@ -96,6 +99,17 @@
         self.queued -= drop as u64;
     }
 
+    /// Takes back the bytes from `begins` to `ends`, as counted in all ever queued, if none of them has been sent.
+    #[must_use]
+    pub fn unqueue(&mut self, begins: u64, ends: u64) -> bool {
+        let unsent = begins >= self.written && begins <= ends && ends <= self.queued;
+        if unsent {
+            self.output.cut((begins - self.written) as usize, (ends - begins) as usize);
+            self.queued -= ends - begins;
+        }
+        unsent
+    }
+
     /// Tells the peer that nothing more will be sent.
     pub fn finish(&self) {
         let _ = rustix::net::shutdown(&self.fd, rustix::net::Shutdown::Write);
@@ -144,6 +158,8 @@
         let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
         let fd = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
         let _ = sockopt::set_tcp_nodelay(&fd, true);
+        // Danger: what the system holds for a peer that does not read can't be taken back when it drains.
+        let _ = sockopt::set_socket_send_buffer_size(&fd, SEND_BUFFER);
         match rustix::net::connect(&fd, &to) {
             Ok(()) | Err(rustix::io::Errno::INPROGRESS) => {}
             Err(e) => return Err(e.into()),
--- a/src/net/ring.rs
+++ b/src/net/ring.rs
@@ -57,6 +57,12 @@
         self.bytes.truncate(self.bytes.len().saturating_sub(count));
     }
 
+    /// Takes `count` bytes out, from `at` on.
+    pub fn cut(&mut self, at: usize, count: usize) {
+        let end = at.saturating_add(count).min(self.bytes.len());
+        self.bytes.drain(at.min(end)..end);
+    }
+
     /// Takes `count` bytes off the front.
     pub fn consume(&mut self, count: usize) {
         self.bytes.drain(..count.min(self.bytes.len()));
@@ -77,6 +83,9 @@
         assert!(ring.push(&[7; 90_000]));
         assert!(!ring.push(&[7; 10_001]));
         assert_eq!(ring.len(), 90_000);
+        ring.cut(1, 89_998);
+        assert_eq!(ring.contiguous(), [7, 7]);
+        assert!(ring.push(&[8; 89_998]));
         ring.consume(90_000);
         assert_eq!(ring.bytes.capacity(), 0);
     }
--- a/tests/sockets/thrift.rs
+++ b/tests/sockets/thrift.rs
@@ -2,7 +2,7 @@
 
 use crate::stand::{Client, Executor, Names, PATIENCE, Program, Reply, call, config, fields};
 use serde_json::json;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -300,6 +300,36 @@
     assert!(program.counters()["executor_connects_failed"] > 0);
 }
 
+#[test]
+fn what_was_given_up_before_it_was_sent_never_goes_out() {
+    // The executor's queue of connections is full; it accepts, and so takes what waits, only later.
+    let (address, (listener, fill)) = hung();
+    let (executor, names) = (Executor::start(), Names::start());
+    let mut config = config(&[&executor], &names);
+    config["known"]["batch"][0]["topology"]["instances"][0]["hostPort"] = json!(address.to_string());
+    config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
+    let program = Program::start(&config);
+    let mut client = Client::connect(program.address);
+    for seq in 1..=3 {
+        client.serve(seq, &fields("flow-read", &id(seq as u64), LONG), b"");
+    }
+    client.forget(4, 2);
+    client.other("isWell", 5);
+    assert_eq!(client.receive(), Some((5, Reply::Well(true))));
+    drop(fill);
+    let lines: Vec<String> = listener
+        .incoming()
+        .map_while(Result::ok)
+        .find_map(|stream| {
+            let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
+            let first = lines.next()?;
+            Some(vec![first, lines.next().expect("a second line")])
+        })
+        .expect("a connection that speaks");
+    assert!(lines[0].contains(&id(1)) && lines[1].contains(&id(3)), "{lines:?}");
+    assert_eq!(program.counters()["attempts_withdrawn"], 1);
+}
+
 #[test]
 fn a_connection_carries_no_more_requests_than_the_settings_say() {
     let (executor, names) = (Executor::start(), Names::start());
