Reserve MQTT packet numbers that are out; test refused answers and planned stops

Seen by reading: Session::id counted on and came round after 65,535 packets, whatever was still out under the same number; it now passes over those. A response topic that begins with $ (such as $share) is no topic where a record could be found, and is turned down. A counter that nothing counted (unloads: the module orders none) is gone.

Checked with the stand-in broker: an answer turned away with 0x97 is looked up and published again before the trigger is acknowledged; a stop by SIGTERM settles what was taken and leaves nothing unacknowledged; 40 triggers in rounds of the receive maximum get 40 answers on 40 topics.

Conclusion: one final answer a message in all of these.

--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -52,7 +52,6 @@
     executor_connects_failed: "Connections to executors that never came up.",
     executor_idle_closed: "Idle connections to executors closed.",
     loads_ordered: "Orders to load.",
-    unloads_ordered: "Orders to unload.",
     dns_queries: "Queries sent to the name service.",
     dns_answers: "Answers of the name service used.",
     dns_dropped: "Packets of the name service dropped.",
--- a/src/front/mqtt/front.rs
+++ b/src/front/mqtt/front.rs
@@ -18,8 +18,6 @@
 const SILENT: u64 = 5_000_000;
 /// An answer that the broker would not take is tried again after this long.
 const RETRY: u64 = 1_000_000;
-/// Packets published to us before the trigger subscription has its number.
-const TRIGGERS_ID: u16 = 1;
 
 /// How the front reaches its broker.
 #[derive(Clone, Debug, PartialEq)]
@@ -87,6 +85,8 @@
     unacknowledged: BTreeSet<u16>,
     /// Answers published and not acknowledged.
     publishing: usize,
+    /// Numbers of our packets that await an answer.
+    out: BTreeSet<u16>,
     next_id: u16,
 }
 
@@ -173,7 +173,8 @@
             looks: Vec::new(),
             unacknowledged: BTreeSet::new(),
             publishing: 0,
-            next_id: TRIGGERS_ID,
+            out: BTreeSet::new(),
+            next_id: 1,
         });
     }
 
@@ -221,6 +222,7 @@
             Packet::Puback { id, reason } => self.acknowledged(now, id, reason),
             Packet::Suback { id, reason } => {
                 session.asked = None;
+                session.out.remove(&id);
                 if reason >= 0x80 {
                     return Err(Malformed("an MQTT subscription that was turned down"));
                 }
@@ -236,7 +238,9 @@
                     self.not_answered(now, unix_ms, number);
                 }
             }
-            Packet::Unsuback => {}
+            Packet::Unsuback { id } => {
+                session.out.remove(&id);
+            }
             Packet::Disconnect { .. } => return Err(Malformed("an MQTT broker that closes")),
         }
         Ok(())
@@ -300,8 +304,8 @@
         }
         let again = p.dup || p.retain;
         let topic = p.response_topic.clone().unwrap_or_default();
-        if topic.is_empty() || topic.contains(['+', '#', '\0']) {
-            // There is nowhere to answer to.
+        if topic.is_empty() || topic.starts_with('$') || topic.contains(['+', '#', '\0']) {
+            // There is nowhere to answer to, or no record could be found there: `$share` is no topic.
             count(&self.counters.requests_invalid);
             return self.reject(now, p.id);
         }
@@ -463,6 +467,9 @@
 
     /// The broker has taken an answer, or would not.
     fn acknowledged(&mut self, now: u64, id: u16, reason: u8) {
+        if let Some(session) = &mut self.session {
+            session.out.remove(&id);
+        }
         let stage = Stage::Publishing { id };
         let found = self.records.messages.iter_mut().find(|(_, m)| m.stage == stage);
         let Some((number, message)) = found else { return };
@@ -551,10 +558,12 @@
 
 impl Session {
     fn id(&mut self) -> u16 {
-        let id = self.next_id;
-        // Far more numbers than can be open at a time; 0 is none.
-        self.next_id = self.next_id.checked_add(1).unwrap_or(1);
-        id
+        // Danger: a number that comes round while its packet is still out would be acknowledged for another.
+        // Far fewer are out at a time than there are; 0 is none.
+        while !self.out.insert(self.next_id) {
+            self.next_id = self.next_id.checked_add(1).unwrap_or(1);
+        }
+        self.next_id
     }
 
     fn say(&mut self, now: u64, packet: &[u8]) -> bool {
--- a/src/front/mqtt/wire.rs
+++ b/src/front/mqtt/wire.rs
@@ -75,7 +75,7 @@
     /// The answer to a subscription.
     Suback { id: u16, reason: u8 },
     /// The answer to the end of a subscription.
-    Unsuback,
+    Unsuback { id: u16 },
     /// The answer to a ping.
     Pingresp,
     /// The broker closes.
@@ -178,7 +178,7 @@
             r.properties(|_, _| Ok(false))?;
             Ok(Packet::Suback { id, reason: r.u8()? })
         }
-        UNSUBACK => Ok(Packet::Unsuback),
+        UNSUBACK => Ok(Packet::Unsuback { id: r.u16()? }),
         PINGRESP => Ok(Packet::Pingresp),
         DISCONNECT => Ok(Packet::Disconnect { reason: if content.is_empty() { SUCCESS } else { r.u8()? } }),
         _ => Err(Malformed("an MQTT packet that no client is sent")),
--- a/tests/sockets/broker.rs
+++ b/tests/sockets/broker.rs
@@ -31,6 +31,9 @@
     retained: BTreeMap<String, Message>,
     /// Every message that the client published, in order.
     published: Vec<Message>,
+    /// So many of its next messages are turned away.
+    refuse: usize,
+    refused: usize,
     /// Takes the client's messages without acknowledging them.
     mute: bool,
     receive_maximum: u16,
@@ -194,6 +197,12 @@
             }
             3 => {
                 let (id, message) = decode(head, content);
+                if self.refuse > 0 {
+                    self.refuse -= 1;
+                    self.refused += 1;
+                    let [a, b] = id.to_be_bytes();
+                    return self.say(&packet(0x40, &[a, b, 0x97, 0]));
+                }
                 self.published.push(message.clone());
                 if message.retain && message.payload.is_empty() {
                     self.retained.remove(&message.topic);
@@ -333,6 +342,16 @@
         self.shared.0.lock().expect("the state").mute = mute;
     }
 
+    /// Turns away so many answers, for want of room.
+    pub fn refuse(&self, count: usize) {
+        self.shared.0.lock().expect("the state").refuse = count;
+    }
+
+    /// Answers turned away.
+    pub fn refused(&self) -> usize {
+        self.shared.0.lock().expect("the state").refused
+    }
+
     /// Breaks the connection.
     pub fn cut(&self) {
         let client = self.shared.0.lock().expect("the state").client.take();
--- a/tests/sockets/mqtt.rs
+++ b/tests/sockets/mqtt.rs
@@ -219,3 +219,43 @@
     assert_eq!(bed.broker.answers(1).len(), 1);
     assert_eq!(bed.program.counters()["mqtt_malformed"], 1);
 }
+
+#[test]
+fn an_answer_that_the_broker_turns_away_is_published_again_before_the_trigger_is_acknowledged() {
+    let bed = Bed::new();
+    bed.broker.refuse(1);
+    bed.broker.publish(&trigger("alert-send", 1, 0));
+    bed.executor.next().ok(b"sent");
+    let answers = bed.broker.answers(1);
+    assert_eq!((answers.len(), bed.broker.refused(), status(&answers[0]).0), (1, 1, "served"));
+    assert_eq!(bed.executor.left(), 0);
+}
+
+#[test]
+fn a_planned_stop_settles_what_was_taken_and_leaves_nothing_to_deliver_again() {
+    let mut bed = Bed::new();
+    bed.broker.publish(&trigger("alert-send", 1, 0));
+    let mut line = bed.executor.next();
+    bed.program.signal(rustix::process::Signal::TERM);
+    // Still taken: the stop is told to nobody yet.
+    bed.broker.publish(&trigger("flow-read", 2, 0));
+    bed.executor.next().ok(b"flow");
+    line.ok(b"sent");
+    assert_eq!(bed.program.child.wait().expect("an end").code(), Some(0));
+    assert_eq!((bed.broker.answers(2).len(), bed.broker.unacknowledged()), (2, 0));
+}
+
+#[test]
+fn more_triggers_than_may_be_open_are_all_answered_once() {
+    let bed = Bed::new();
+    for round in 0..5 {
+        for n in 0..8 {
+            bed.broker.publish(&trigger("flow-read", round * 8 + n + 1, LONG - 5));
+        }
+        bed.broker.answers((round as usize + 1) * 8);
+    }
+    let mut topics: Vec<String> = bed.broker.answers(40).into_iter().map(|a| a.topic).collect();
+    topics.sort();
+    topics.dedup();
+    assert_eq!((topics.len(), bed.broker.answers(40).len()), (40, 40));
+}
