Read what an executor sent before a reset, also where a send meets the reset first

Guessed from Pool::push, which closed a connection at once when a send on it failed, and then shown by a test: the program stands still while a second request, the answer to the first and a reset come in that order. The first, an alert, was answered as failed though its answer lay in the socket. Ruled out: that the kernel drops what came before a reset; it hands it out after the failed send. A first form of the test proved nothing, since it wrote the answer in pieces and the reset discarded the later ones.

A failed send now only keeps new requests off the connection; its end is an event of its own, which reads before it closes. The test fails without this.

--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -258,8 +258,10 @@
     fn push(&mut self, poll: &Poll, now: u64, slot: usize) {
         let Some(link) = self.links.get_mut(slot) else { return };
         link.peer.used = now;
-        if let Err(why) = link.flush(poll) {
-            self.close(slot, why);
+        if link.flush(poll).is_err() {
+            // Danger: an answer may have come before the reset that broke the send, and not have been read. The
+            // connection takes nothing new; its end is an event of its own, which reads first.
+            link.peer.closing = true;
         }
     }
 
--- a/tests/sockets/thrift.rs
+++ b/tests/sockets/thrift.rs
@@ -330,6 +330,34 @@
     assert_eq!(program.counters()["attempts_withdrawn"], 1);
 }
 
+#[test]
+fn an_answer_that_came_before_a_reset_counts_though_the_reset_is_seen_first() {
+    let (listener, names) = (TcpListener::bind("127.0.0.1:0").expect("a listener"), Names::start());
+    let address = listener.local_addr().expect("an address");
+    let mut config = config(&[&Executor::start()], &names);
+    config["known"]["batch"][0]["topology"]["instances"][0]["hostPort"] = json!(address.to_string());
+    let program = Program::start(&config);
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("alert-send", &id(1), LONG), b"");
+    let (mut stream, _) = listener.accept().expect("a connection");
+    BufReader::new(&stream).read_line(&mut String::new()).expect("a request");
+    // While the program stands still, a second request comes, then the answer to the first, then a reset.
+    program.signal(rustix::process::Signal::STOP);
+    client.serve(2, &fields("alert-send", &id(2), LONG), b"");
+    // In one piece: what the system has not sent goes with the reset.
+    let answer = format!("{}\n", json!({"verb": "OK", "rid": id(1), "content": "AA=="}));
+    stream.write_all(answer.as_bytes()).expect("sent");
+    rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).expect("set");
+    drop(stream);
+    program.signal(rustix::process::Signal::CONT);
+    assert_eq!(client.receive(), Some((1, Reply::Served(vec![0]))));
+    // The second was never written: it goes out anew.
+    let (mut stream, _) = listener.accept().expect("a connection");
+    BufReader::new(&stream).read_line(&mut String::new()).expect("a request");
+    writeln!(stream, "{}", json!({"verb": "OK", "rid": id(2), "content": "AQ=="})).expect("sent");
+    assert_eq!(client.receive(), Some((2, Reply::Served(vec![1]))));
+}
+
 #[test]
 fn a_connection_carries_no_more_requests_than_the_settings_say() {
     let (executor, names) = (Executor::start(), Names::start());
