SIGHUP reads the configuration again and moves to the new name service

Checked: the default action of SIGHUP ends a process; src/net/signals.rs registered SIGTERM, SIGINT and SIGUSR1 only, and src/node.rs had no way to take a second configuration. Now: SIGHUP is an event; a good file's limits, settings and name service are taken over, the last list and its number stay; of a faulty file nothing is taken and the key is named. The agent passes SIGHUP on.

--- a/src/agent/cli.rs
+++ b/src/agent/cli.rs
@@ -26,7 +26,8 @@
 ochreward --version
 
 The agent's address is 127.0.0.1:8700 unless --agent names another.
-SIGUSR1 prints the counters of a dispatcher, SIGTERM settles everything and ends it.
+SIGUSR1 prints the counters of a dispatcher, SIGHUP has it read its configuration again (the agent passes it on to
+its instances), SIGTERM settles everything and ends it.
 ";
 
 /// The longest that the command line waits for the agent.
--- a/src/agent/instance.rs
+++ b/src/agent/instance.rs
@@ -150,6 +150,14 @@
         }
     }
 
+    /// Has it read its configuration again. Danger: one that is not up yet has no handler for the signal, and
+    /// would end of it; it reads the new file anyhow.
+    pub fn reload(&self) {
+        if self.well_at.is_some() {
+            self.signal(Signal::HUP);
+        }
+    }
+
     /// Looks after the process, and asks whether it is well.
     pub fn advance(&mut self, poll: &mut Poll, now: u64, agent: &Agent, (owner, slot): (u8, usize)) {
         if let Some(child) = &mut self.child
--- a/src/agent/supervisor.rs
+++ b/src/agent/supervisor.rs
@@ -105,6 +105,8 @@
                     self.instances.iter_mut().for_each(|i| i.end_now(now));
                 }
                 Some(Wish::Print) => say(self.status()),
+                // The instances read their own configuration again; the agent's own stays.
+                Some(Wish::Reload) => self.instances.iter().for_each(Managed::reload),
                 None => {}
             },
             PROBES => {
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -65,6 +65,25 @@
     pub settings: Settings,
 }
 
+impl Settings {
+    /// Whether a running dispatcher can go on under these settings after those: requests and what was learned
+    /// name classes, tenants, zones and kinds by their places.
+    pub fn follows(&self, old: &Settings) -> Result<(), Error> {
+        let same = [
+            ("settings.lanes", self.classes == old.classes),
+            ("settings.orgs", self.tenants == old.tenants),
+            ("settings.zones", self.vocabulary.zones == old.vocabulary.zones),
+            ("settings.kinds", self.vocabulary.kinds == old.vocabulary.kinds),
+        ];
+        match same.into_iter().find(|(_, same)| !same) {
+            Some((key, _)) => {
+                Err(Error { key: key.to_string(), why: "can't change without a restart".into() })
+            }
+            None => Ok(()),
+        }
+    }
+}
+
 impl Config {
     /// Reads the environment and the file that it names.
     pub fn from_environment() -> Result<Config, Error> {
--- a/src/control.rs
+++ b/src/control.rs
@@ -260,13 +260,8 @@
 
 impl Router {
     /// A router that knows its settings and nothing else yet.
-    pub fn new(mut set: Settings, seed: u64, now: Micros) -> Router {
-        // Absurd figures are replaced, so that no estimate divides by zero or overflows.
-        set.balancers = set.balancers.max(1);
-        set.keep_alive = set.keep_alive.max(1);
-        set.cold_share = set.cold_share.clamp(0.05, 1.0);
-        set.max_attempts = set.max_attempts.max(1);
-        set.classes.iter_mut().for_each(|c| c.aim = c.aim.max(1));
+    pub fn new(set: Settings, seed: u64, now: Micros) -> Router {
+        let set = usable(set);
         let most = set.classes.iter().map(|c| c.credit).fold(f64::MIN_POSITIVE, f64::max);
         let pool = |c: &Class| Pool {
             run: c.aim as f64 * PRIOR_RUN,
@@ -295,6 +290,12 @@
         }
     }
 
+    /// New settings with the same classes and tenants; what was learned stays.
+    pub fn configure(&mut self, set: Settings) {
+        self.set = usable(set);
+        self.half = FORGET * self.set.keep_alive as f64;
+    }
+
     /// Takes one event and appends what is to be done about it.
     pub fn handle(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -893,6 +894,16 @@
     Cold,
 }
 
+/// Absurd figures are replaced, so that no estimate divides by zero or overflows.
+fn usable(mut set: Settings) -> Settings {
+    set.balancers = set.balancers.max(1);
+    set.keep_alive = set.keep_alive.max(1);
+    set.cold_share = set.cold_share.clamp(0.05, 1.0);
+    set.max_attempts = set.max_attempts.max(1);
+    set.classes.iter_mut().for_each(|c| c.aim = c.aim.max(1));
+    set
+}
+
 /// A rank of the worker for the function that every router finds alike.
 fn rendezvous(function: &FunctionId, worker: &WorkerId) -> u64 {
     let mut hasher = SipHasher13::new();
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -189,6 +189,13 @@
         }
     }
 
+    /// New settings and bounds. Classes are known by their places, which must be the same.
+    pub fn configure(&mut self, settings: &Settings, bounds: Bounds) {
+        self.router.configure(settings.clone());
+        self.classes = settings.classes.clone();
+        self.bounds = bounds;
+    }
+
     /// Requests that are owed an answer.
     pub fn owed(&self) -> usize {
         self.tickets.len()
--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -62,6 +62,8 @@
     mqtt_answers: "Final answers published over MQTT.",
     mqtt_acknowledged: "MQTT messages acknowledged.",
     mqtt_malformed: "MQTT connections closed for nonsense.",
+    reloads: "Times that a new configuration was taken into use.",
+    reloads_refused: "New configurations with a fault, not taken into use.",
     loop_lag_most_us: "The longest turn of the loop, in microseconds.",
 }
 
--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// New bounds, for what is begun from now on.
+    pub fn bound(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// Takes the whole list. What is still queued for an executor that drains or is gone is withdrawn.
     pub fn list(&mut self, executors: &[Executor]) {
         let new = executors.iter().map(|e| (e.id.clone(), (e.address, e.state))).collect();
--- a/src/front/thrift/front.rs
+++ b/src/front/thrift/front.rs
@@ -108,6 +108,11 @@
         self.listener.as_ref().and_then(|l| l.address().ok())
     }
 
+    /// New bounds, for what comes from now on.
+    pub fn bound(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// Accepts no more.
     pub fn stop_listening(&mut self) {
         self.listener = None;
--- a/src/names/resolver.rs
+++ b/src/names/resolver.rs
@@ -19,6 +19,8 @@
 /// Asks the name service.
 pub struct Resolver {
     fd: OwnedFd,
+    owner: u8,
+    server: SocketAddr,
     service: String,
     next_id: u16,
     open: VecDeque<u16>,
@@ -37,14 +39,30 @@
         (serial, seed): (u64, u64),
         counters: Rc<Counters>,
     ) -> io::Result<Resolver> {
-        let family = if server.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
-        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-        let fd = rustix::net::socket_with(family, SocketType::DGRAM, flags, None)?;
-        rustix::net::connect(&fd, &server)?;
-        let token = poll.token(owner, 0);
-        poll.add(&fd, token, Interest { read: true, write: false })?;
+        let fd = socket(poll, owner, server)?;
         let service = service.to_string();
-        Ok(Resolver { fd, service, next_id: seed as u16, open: VecDeque::new(), at: 0, serial, counters })
+        let (next_id, open, at) = (seed as u16, VecDeque::new(), 0);
+        Ok(Resolver { fd, owner, server, service, next_id, open, at, serial, counters })
+    }
+
+    /// Asks at another address from now on, and at once. The numbers carry on: a list that is older than what
+    /// the last server told is still none.
+    pub fn move_to(&mut self, poll: &mut Poll, server: SocketAddr) -> io::Result<()> {
+        if server != self.server {
+            // Danger: the old socket goes only once the new one stands; without either no list would come.
+            self.fd = socket(poll, self.owner, server)?;
+            self.server = server;
+            self.open.clear();
+        }
+        self.at = 0;
+        Ok(())
+    }
+
+    /// Takes a list that came by another way; false if what is held is as new.
+    pub fn told(&mut self, serial: u64) -> bool {
+        let news = serial > self.serial;
+        self.serial = self.serial.max(serial);
+        news
     }
 
     /// When it next has something to do.
@@ -88,8 +106,7 @@
                     self.open.remove(place);
                     count(&self.counters.dns_answers);
                     // Packets overtake each other: an older list must not undo a newer one.
-                    if u64::from(answer.serial) > self.serial {
-                        self.serial = u64::from(answer.serial);
+                    if self.told(u64::from(answer.serial)) {
                         news = Some(answer.executors);
                     }
                 }
@@ -98,3 +115,14 @@
         }
     }
 }
+
+/// A socket that speaks with this server alone.
+fn socket(poll: &mut Poll, owner: u8, server: SocketAddr) -> io::Result<OwnedFd> {
+    let family = if server.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+    let fd = rustix::net::socket_with(family, SocketType::DGRAM, flags, None)?;
+    rustix::net::connect(&fd, &server)?;
+    let token = poll.token(owner, 0);
+    poll.add(&fd, token, Interest { read: true, write: false })?;
+    Ok(fd)
+}
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -2,7 +2,7 @@
 
 use super::{Interest, Poll, Token};
 use rustix::net::RecvFlags;
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::io;
 use std::os::unix::net::UnixStream;
 
@@ -13,6 +13,8 @@
     Stop,
     /// To print the counters.
     Print,
+    /// To read the configuration again.
+    Reload,
 }
 
 /// The reading ends of the pairs.
@@ -24,9 +26,10 @@
     /// Registers the handlers.
     pub fn new(poll: &mut Poll, owner: u8) -> io::Result<Signals> {
         let mut pairs = Vec::new();
-        for (slot, (signal, wish)) in
-            [(SIGTERM, Wish::Stop), (SIGINT, Wish::Stop), (SIGUSR1, Wish::Print)].into_iter().enumerate()
-        {
+        // Danger: a signal that is not handled ends the process, SIGHUP among them.
+        let wishes =
+            [(SIGTERM, Wish::Stop), (SIGINT, Wish::Stop), (SIGUSR1, Wish::Print), (SIGHUP, Wish::Reload)];
+        for (slot, (signal, wish)) in wishes.into_iter().enumerate() {
             let (read, write) = UnixStream::pair()?;
             read.set_nonblocking(true)?;
             let token = poll.token(owner, slot);
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,7 +9,7 @@
 use crate::front::{Intake, Invalid, Sketch, mqtt, thrift};
 use crate::names::{Executor, Resolver};
 use crate::net::{Clock, Poll, Ready, Signals, Wish};
-use std::io;
+use std::io::{self, Write};
 use std::rc::Rc;
 
 const SIGNALS: u8 = 0;
@@ -52,35 +52,14 @@
         let now = clock.read();
         let mut poll = Poll::new()?;
         let counters = Rc::new(Counters::default());
+        let (bounds, pool_limits, front_limits) = limits(&config);
         let settings = config.settings;
-        let (memory, sockets) = (config.resources.memory, config.resources.sockets);
-        // Shared out up front: clients may hold a third, and what they don't is not lent to them.
-        let clients = sockets / 3 + RESERVED / 2;
-        let executors = sockets.saturating_sub(clients + RESERVED).max(8);
-        let bounds = Bounds {
-            attempts: settings.module.max_attempts,
-            load_wait: settings.load_wait,
-            held_bytes: memory / 8,
-            held_requests: settings.max_open,
-            retry_after: settings.module.max_retry_after,
-            send_lag: settings.connect_timeout + MARGIN,
-        };
         let engine = Engine::new(&settings.module, config.seed, now, bounds, counters.clone());
-        let limits = executor::Limits {
-            connections: executors,
-            streams: settings.streams_per_conn,
-            connect_timeout: settings.connect_timeout,
-            keepalive: settings.keepalive,
-            classes: settings.classes.clone(),
-            tells_warm: settings.tells_warm,
-            tells_crowd: settings.tells_crowd,
-        };
-        let pool = Pool::new(EXECUTORS, limits, counters.clone());
+        let pool = Pool::new(EXECUTORS, pool_limits, counters.clone());
         let service = crate::config::SERVICE;
         let state = (config.known.0, config.seed);
         let resolver = Resolver::new(&mut poll, NAMES, config.names, service, state, counters.clone())?;
-        let limits = thrift::Limits { connections: clients, unsent: memory / 8 };
-        let thrift = thrift::Front::new(&mut poll, THRIFT, config.listen, limits, counters.clone())?;
+        let thrift = thrift::Front::new(&mut poll, THRIFT, config.listen, front_limits, counters.clone())?;
         let number = |(i, options)| mqtt::Front::new(MQTT + i as u8, options, counters.clone());
         let mqtt = brokers.into_iter().take(64).enumerate().map(number).collect();
         let signals = Signals::new(&mut poll, SIGNALS)?;
@@ -167,11 +146,46 @@
                     self.draining.get_or_insert(self.now);
                 }
                 Some(Wish::Print) => say(&self.counters),
+                Some(Wish::Reload) => self.reload(),
                 None => {}
             },
         }
     }
 
+    /// Reads the configuration again. Danger: a faulty one must cost nothing, so that nothing of it is taken
+    /// before all of it has been checked.
+    fn reload(&mut self) {
+        let outcome = Config::from_environment().map_err(|e| e.to_string()).and_then(|c| self.adopt(c));
+        match outcome {
+            Ok(()) => {
+                count(&self.counters.reloads);
+                say("ochreward: the new configuration is in use");
+            }
+            Err(why) => {
+                count(&self.counters.reloads_refused);
+                let _ = writeln!(io::stderr(), "ochreward: the old configuration stays in use: {why}");
+            }
+        }
+    }
+
+    /// Goes on with a new configuration; requests, numbers and all that was learned stay.
+    fn adopt(&mut self, config: Config) -> Result<(), String> {
+        config.settings.follows(&self.settings).map_err(|e| e.to_string())?;
+        self.resolver
+            .move_to(&mut self.poll, config.names)
+            .map_err(|e| format!("configuration, key 'names': {e}"))?;
+        let (bounds, pool_limits, front_limits) = limits(&config);
+        self.engine.configure(&config.settings.module, bounds);
+        self.pool.bound(pool_limits);
+        self.thrift.bound(front_limits);
+        self.settings = config.settings;
+        let (serial, executors) = config.known;
+        if self.resolver.told(serial) {
+            self.list(&executors);
+        }
+        Ok(())
+    }
+
     fn list(&mut self, executors: &[Executor]) {
         self.pool.list(executors);
         let listing = |e: &Executor| -> Listing {
@@ -259,6 +273,33 @@
     }
 }
 
+/// What bounds the parts, derived from the configuration.
+fn limits(config: &Config) -> (Bounds, executor::Limits, thrift::Limits) {
+    let settings = &config.settings;
+    let (memory, sockets) = (config.resources.memory, config.resources.sockets);
+    // Shared out up front: clients may hold a third, and what they don't is not lent to them.
+    let clients = sockets / 3 + RESERVED / 2;
+    let executors = sockets.saturating_sub(clients + RESERVED).max(8);
+    let bounds = Bounds {
+        attempts: settings.module.max_attempts,
+        load_wait: settings.load_wait,
+        held_bytes: memory / 8,
+        held_requests: settings.max_open,
+        retry_after: settings.module.max_retry_after,
+        send_lag: settings.connect_timeout + MARGIN,
+    };
+    let pool = executor::Limits {
+        connections: executors,
+        streams: settings.streams_per_conn,
+        connect_timeout: settings.connect_timeout,
+        keepalive: settings.keepalive,
+        classes: settings.classes.clone(),
+        tells_warm: settings.tells_warm,
+        tells_crowd: settings.tells_crowd,
+    };
+    (bounds, pool, thrift::Limits { connections: clients, unsent: memory / 8 })
+}
+
 /// A request's figures with the settings' names looked up.
 fn job(settings: &Settings, sketch: Sketch, body: Vec<u8>, age_us: u64, again: bool) -> Result<Job, Invalid> {
     let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
--- a/tests/sockets/stand.rs
+++ b/tests/sockets/stand.rs
@@ -34,6 +34,8 @@
     pub child: Child,
     /// What it says first, up to where it listens.
     pub address: SocketAddr,
+    /// Its configuration file.
+    pub path: PathBuf,
     lines: Receiver<String>,
 }
 
@@ -60,7 +62,7 @@
         let mut child = command
             .env_remove("ROUTER_NAME")
             .env_remove("ROUTER_LISTEN")
-            .env("ROUTER_CONFIG", path)
+            .env("ROUTER_CONFIG", &path)
             .stdout(Stdio::piped())
             .spawn()
             .expect("the program starts");
@@ -69,7 +71,7 @@
         std::thread::spawn(move || stdout.lines().map_while(Result::ok).try_for_each(|line| tell.send(line)));
         let first = lines.recv_timeout(PATIENCE).expect("a first line");
         let address = first.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
-        Program { child, address, lines }
+        Program { child, address, path, lines }
     }
 
     pub fn signal(&self, signal: rustix::process::Signal) {
--- a/tests/sockets/thrift.rs
+++ b/tests/sockets/thrift.rs
@@ -277,6 +277,42 @@
     assert_eq!(program.child.wait().expect("an end").code(), Some(0));
 }
 
+#[test]
+fn sighup_moves_to_the_new_name_service_and_a_faulty_file_changes_nothing() {
+    // Danger: SIGHUP unhandled ends the process, and with it every request that it holds.
+    let (old, new, names, next) = (Executor::start(), Executor::start(), Names::start(), Names::start());
+    let mut config = config(&[&old], &names);
+    let program = Program::start(&config);
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("alert-send", &id(1), LONG), b"");
+    let mut held = old.next();
+    next.set(5, &[("s9", new.address, 0)]);
+    let good = config.clone();
+    config["settings"]["lanes"][0]["effect"] = json!("twice");
+    std::fs::write(&program.path, config.to_string()).expect("written");
+    program.signal(rustix::process::Signal::HUP);
+    let began = Instant::now();
+    while program.counters()["reloads_refused"] == 0 {
+        assert!(began.elapsed() < PATIENCE, "the faulty file is never read");
+    }
+    config = good;
+    config["names"] = json!(next.address.to_string());
+    std::fs::write(&program.path, config.to_string()).expect("written");
+    program.signal(rustix::process::Signal::HUP);
+    assert_eq!(program.line(), "ochreward: the new configuration is in use");
+    while program.counters()["lists_applied"] == 0 {
+        assert!(began.elapsed() < PATIENCE, "the new service is never asked");
+    }
+    // What was open is still open, and what comes goes to whom the new service names.
+    held.ok(b"held");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"held".to_vec()))));
+    client.serve(2, &fields("flow-read", &id(2), LONG), b"");
+    new.next().ok(b"new");
+    assert_eq!(client.receive(), Some((2, Reply::Served(b"new".to_vec()))));
+    let (code, counters) = program.end();
+    assert_eq!((code, counters["reloads"], counters["reloads_refused"]), (Some(0), 1, 1));
+}
+
 #[test]
 fn clients_beyond_their_share_of_descriptors_push_out_idle_ones_and_all_are_served() {
     let (executor, names) = (Executor::start(), Names::start());
