Contain bad clients: numbers in order, silence, offences; bad requests condemn no worker

Ruled out: processor (0.05 of a core at most), memory (1 MB), descriptors (215 of 384), rules (kept). Now: a request out of order is answered with an exception; what is taken back in the same breath is never handed on; silence and half messages end after 1.5 s, connections after 16 offences; bodies, times and figures are bounded, an id that is open is not taken twice; an error of a function that was never served counts against no worker.

--- a/src/control.rs
+++ b/src/control.rs
@@ -156,6 +156,8 @@
     load: Option<f64>,
     run: f64,
     answers: u32,
+    /// It was served, by whomever.
+    served: bool,
     /// This router's requests for it.
     seen: Evidence,
     /// Whether it was found loaded at homes where this router did not know.
@@ -810,6 +812,8 @@
         attempt.open = false;
         let lost = match outcome {
             Outcome::Ok | Outcome::Miss => Some(0.0),
+            // Danger: requests that no worker can use end in errors everywhere, and would take good workers out.
+            Outcome::Error if !self.functions[function].served => None,
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => Some(1.0),
             // Clients with little time left go before an answer is due.
             Outcome::Timeout if !attempt.lost && *latency as f64 > SILENCE * attempt.e.whole => Some(1.0),
@@ -851,6 +855,7 @@
         match outcome {
             Outcome::Ok => {
                 self.served.add(now, self.half, 1.0);
+                self.functions[function].served = true;
                 mark.used = now;
                 mark.copies = mark.copies.max(1);
                 mark.loading = None;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,7 +12,7 @@
 };
 use crate::control::Router;
 use crate::counters::{Counters, count};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use timers::{Due, Timers};
@@ -151,6 +151,8 @@
     classes: Vec<Class>,
     held: BTreeMap<RequestId, Held>,
     tickets: BTreeMap<Ticket, RequestId>,
+    /// The clients' ids of the requests that are held.
+    calls: BTreeSet<Arc<str>>,
     orders: BTreeMap<u64, Order>,
     timers: Timers,
     next: u64,
@@ -178,6 +180,7 @@
             classes: settings.classes.clone(),
             held: BTreeMap::new(),
             tickets: BTreeMap::new(),
+            calls: BTreeSet::new(),
             orders: BTreeMap::new(),
             timers: Timers::default(),
             next: 1,
@@ -223,7 +226,13 @@
         let full = self.held_bytes + job.body.len() > self.bounds.held_bytes
             || self.held.len() >= self.bounds.held_requests;
         self.held_bytes += job.body.len();
-        let (barred, attempts) = self.repeat(&job);
+        let (mut barred, attempts) = self.repeat(&job);
+        // Danger: executors know a request by its client's id. A second one under an id that is out could be
+        // given up, or answered, in place of the first.
+        if barred.is_none() && self.calls.contains(&job.call) {
+            barred = Some("its id is that of a request which is open");
+        }
+        let call = job.call.clone();
         let event = Event::Request {
             id,
             class: job.class,
@@ -238,12 +247,13 @@
         self.held.insert(id, held);
         if let Some(why) = barred {
             self.settle(id, Final::Failed(why));
-            return self.tidy(id);
+            return self.drop_held(id);
         }
         if full {
             self.settle(id, Final::Refused(self.bounds.retry_after));
-            return self.tidy(id);
+            return self.drop_held(id);
         }
+        self.calls.insert(call);
         self.timers.add(deadline, Due::Deadline(id));
         self.tell(now, event);
     }
@@ -424,10 +434,17 @@
     /// Drops a request once nothing is owed and nothing is out.
     fn tidy(&mut self, id: RequestId) {
         if self.held.get(&id).is_some_and(|h| h.settled && h.attempts.iter().all(|a| !a.open)) {
-            let held = self.held.remove(&id);
-            self.held_bytes -= held.map_or(0, |h| h.job.body.len());
+            if let Some(held) = self.held.get(&id) {
+                self.calls.remove(&held.job.call);
+            }
+            self.drop_held(id);
         }
     }
+
+    fn drop_held(&mut self, id: RequestId) {
+        let held = self.held.remove(&id);
+        self.held_bytes -= held.map_or(0, |h| h.job.body.len());
+    }
 }
 
 #[cfg(test)]
@@ -499,7 +516,7 @@
             lanes: 1.0,
             load_time: None,
             time_left: 4 * S,
-            call: "c".into(),
+            call: format!("c{seq}").into(),
             key: Some("k".into()),
             body: vec![0; body],
             repeat,
@@ -530,6 +547,17 @@
         }
     }
 
+    #[test]
+    fn an_id_that_is_open_is_not_taken_a_second_time() {
+        let mut engine = engine();
+        assert!(runs(&take(&mut engine, 1, 0, None, 0)));
+        let second = take(&mut engine, 1, 0, None, 5);
+        assert!(!runs(&second) && matches!(answers(&second)[..], [Final::Failed(_)]), "{second:?}");
+        engine.ended(20, AttemptId { request: 1, number: 0 }, Ended::bare(Outcome::Ok));
+        engine.commands.clear();
+        assert!(runs(&take(&mut engine, 1, 0, None, 0)), "the id is free again");
+    }
+
     #[test]
     fn a_keyed_repeat_has_one_attempt() {
         let mut engine = engine();
--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -29,6 +29,7 @@
     requests_taken: "Requests taken in.",
     requests_invalid: "Requests with unusable fields, answered as failed.",
     requests_forgotten: "Requests that their client gave up.",
+    requests_unread: "Requests taken back before they were handed on.",
     answers_served: "Final answers: served.",
     answers_refused: "Final answers: refused.",
     answers_failed: "Final answers: failed.",
--- a/src/front/info.rs
+++ b/src/front/info.rs
@@ -43,8 +43,10 @@
     pub load_us: Option<u64>,
 }
 
-/// The longest time that a client may say it waits, in milliseconds.
+/// The longest time that a client may say it waits, or that a load may take, in milliseconds.
 const MOST_TTL: f64 = 600_000.0;
+/// The most that a figure of a request may say.
+const MOST_FIGURE: f64 = 1e6;
 
 fn hex(text: &str, least: usize, most: usize) -> bool {
     (least..=most).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_hexdigit())
@@ -74,13 +76,22 @@
         if key.is_some_and(|k| !hex(k, 1, 64)) {
             return Err(Invalid { field: "dedupe", why: "must be hex digits, 64 at most" });
         }
+        // Not needed here, and so may be absent; but what is no figure is no request of a sound client.
+        if fields.get("work").is_some_and(|w| number(w).is_none_or(|w| w > MOST_FIGURE)) {
+            return Err(Invalid { field: "work", why: "must be a figure, 1000000 at most" });
+        }
         let (mut lanes, mut load_us) = (1.0, None);
         for part in fields.get("info").map_or("", String::as_str).split(';').filter(|p| !p.is_empty()) {
-            let figure =
-                |v: &str| number(v).ok_or(Invalid { field: "info", why: "holds a figure that is none" });
+            let figure = |v: &str, least: f64, most: f64| {
+                let figure = number(v).filter(|n| (least..=most).contains(n));
+                figure.ok_or(Invalid { field: "info", why: "holds a figure that is none, or out of range" })
+            };
             match part.split_once(':') {
-                Some(("lanes", v)) => lanes = figure(v)?,
-                Some(("load_ms", v)) => load_us = Some((figure(v)? * 1000.0) as u64).filter(|l| *l > 0),
+                Some(("lanes", v)) => lanes = figure(v, 1.0, 1024.0)?,
+                Some(("load_ms", v)) => {
+                    load_us = Some((figure(v, 0.0, MOST_TTL)? * 1000.0) as u64).filter(|l| *l > 0)
+                }
+                Some(("memory_mb", v)) => drop(figure(v, 0.0, MOST_FIGURE)?),
                 Some(_) => {}
                 None => return Err(Invalid { field: "info", why: "must be name:figure pairs" }),
             }
@@ -138,6 +149,11 @@
             ("dedupe", Some("no hex")),
             ("info", Some("lanes=2")),
             ("info", Some("lanes:NaN")),
+            ("info", Some("lanes:0")),
+            ("info", Some("memory_mb:1e300")),
+            ("info", Some("load_ms:-1")),
+            ("work", Some("x")),
+            ("work", Some("1e9")),
         ];
         for (name, value) in bad {
             assert_eq!(Sketch::read(&fields(&[(name, value)])).expect_err(name).field, name);
--- a/src/front/thrift/front.rs
+++ b/src/front/thrift/front.rs
@@ -17,16 +17,23 @@
 const MUCH_UNSENT: usize = 256 * 1024;
 /// Bytes of answers after which its connection is closed.
 const MOST_UNSENT: usize = 2 * 1024 * 1024;
-/// A client that takes no answer, or leaves a message half sent, for this long is closed.
+/// A client that takes no answer for this long is closed.
 const STALLED: u64 = 10_000_000;
+/// A client that has not sent a whole message this long after it connected, or after a message of its began, is
+/// closed: silent connections and messages that never end must not hold descriptors that others need.
+const SILENT: u64 = 1_500_000;
+/// Messages that break the protocol, after which a connection is closed: one that sends the same again the moment
+/// it is turned away would else take the loop's time without end.
+const MOST_OFFENCES: u32 = 16;
 /// A connection with nothing open on it is closed after this long.
 const IDLE: u64 = 60_000_000;
-/// One idle for this long may be closed sooner, where another waits for its place.
+/// One idle for this long may be closed sooner, where another waits for its place: one that never sent a whole
+/// message before any other.
 const EVICTABLE: u64 = 250_000;
 /// After running out of descriptors accepting stops for this long.
 const PAUSE: u64 = 50_000;
 /// How often connections are looked through for those that stalled.
-const SWEEP: u64 = 1_000_000;
+const SWEEP: u64 = 250_000;
 
 /// What bounds the front.
 #[derive(Clone, Copy, Debug)]
@@ -40,9 +47,27 @@
 struct Client {
     open: BTreeSet<i32>,
     used: u64,
+    /// When the message that is not whole yet began, or the connection where none has come.
+    partial: Option<u64>,
+    /// Whole messages that came, and the highest number of a request among them.
+    messages: u64,
+    highest: i32,
+    offences: u32,
     blocked: bool,
 }
 
+impl Client {
+    /// Danger: on each connection numbers start at 1 and go up. One that begins elsewhere, or goes back, is no
+    /// client of ours: what it sends must not take the executors' time, nor break the connections that others'
+    /// requests share.
+    fn in_order(&mut self, seq: i32) -> bool {
+        let first = self.highest == 0 && u64::try_from(seq).is_ok_and(|s| s > self.messages);
+        let good = seq > self.highest && !first;
+        self.highest = self.highest.max(if good { seq } else { 0 });
+        good
+    }
+}
+
 impl Callbacks for Client {
     type Out = Vec<Call>;
 
@@ -149,6 +174,14 @@
             }
         }
         self.calls = calls;
+        if let Some(link) = self.links.get_mut(slot) {
+            let since = link.peer.partial.unwrap_or(now);
+            link.peer.partial = (link.peer.messages == 0 || link.io.unread() > 0).then_some(since);
+            if link.peer.offences >= MOST_OFFENCES {
+                self.flush(poll, slot);
+                result = result.and(Err(Closed::Malformed("one offence after another")));
+            }
+        }
         match result {
             Err(why) => self.close(slot, why),
             Ok(()) => self.flush(poll, slot),
@@ -165,7 +198,15 @@
                 Accepted::One(fd) => {
                     let entry = self.links.vacant_entry();
                     let token = poll.token(self.id, entry.key());
-                    let client = Client { open: BTreeSet::new(), used: now, blocked: false };
+                    let client = Client {
+                        open: BTreeSet::new(),
+                        used: now,
+                        partial: Some(now),
+                        messages: 0,
+                        highest: 0,
+                        offences: 0,
+                        blocked: false,
+                    };
                     let limits = (wire::MOST_FRAME * 2, MOST_UNSENT);
                     if let Ok(link) = Link::accepted(poll, fd, token, client, limits) {
                         count(&self.counters.clients_accepted);
@@ -195,7 +236,8 @@
             let quiet = l.peer.open.is_empty() && l.io.unsent() == 0 && l.io.unread() == 0;
             quiet && now >= l.peer.used + EVICTABLE
         };
-        let oldest = self.links.iter().filter(|(_, l)| idle(l)).min_by_key(|(_, l)| l.peer.used);
+        let first = |l: &Link<Client>| (l.peer.messages > 0, l.peer.used);
+        let oldest = self.links.iter().filter(|(_, l)| idle(l)).min_by_key(|(_, l)| first(l));
         let Some(slot) = oldest.map(|(slot, _)| slot) else { return false };
         count(&self.counters.clients_evicted);
         self.close(slot, Closed::Broken);
@@ -205,16 +247,22 @@
     fn call(&mut self, now: u64, slot: usize, call: Call) -> Result<(), Malformed> {
         let Some(link) = self.links.get_mut(slot) else { return Ok(()) };
         link.peer.used = now;
+        link.peer.partial = None;
+        link.peer.messages += 1;
         match call {
             Call::Serve { seq, fields, body } => {
                 // Danger: two answers under one number could not be told apart.
                 if link.peer.open.contains(&seq) {
                     return Err(Malformed("a sequence number that is still open"));
                 }
+                if !link.peer.in_order(seq) {
+                    let text = "sequence numbers start at 1 and go up";
+                    self.offence(slot, &wire::exception("serve", seq, wire::BAD_SEQUENCE_ID, text));
+                    return Ok(());
+                }
                 if link.peer.open.len() >= MOST_OPEN {
                     let text = "too many requests open on this connection";
-                    count(&self.counters.requests_invalid);
-                    self.queue(slot, &wire::exception("serve", seq, wire::INTERNAL_ERROR, text));
+                    self.offence(slot, &wire::exception("serve", seq, wire::INTERNAL_ERROR, text));
                     return Ok(());
                 }
                 match Sketch::read(&fields) {
@@ -224,16 +272,15 @@
                         self.intake.push(Intake::Serve { ticket, sketch, body, age_us: 0, again: false });
                     }
                     Err(invalid) => {
-                        count(&self.counters.requests_invalid);
                         let text = invalid.to_string();
-                        self.queue(slot, &wire::exception("serve", seq, wire::PROTOCOL_ERROR, &text));
+                        self.offence(slot, &wire::exception("serve", seq, wire::PROTOCOL_ERROR, &text));
                     }
                 }
             }
             Call::Forget { seq } => {
                 if link.peer.open.remove(&seq) {
                     let ticket = self.ticket(slot, seq);
-                    self.intake.push(Intake::Forget(ticket));
+                    self.forget(ticket);
                 }
             }
             Call::IsWell { seq } => {
@@ -242,15 +289,40 @@
                 self.queue(slot, &wire::answer("isWell", seq, &[], well));
             }
             Call::Unknown { seq, method } => {
-                count(&self.counters.requests_invalid);
-                self.queue(slot, &wire::exception(&method, seq, wire::UNKNOWN_METHOD, "no such method"));
+                self.offence(slot, &wire::exception(&method, seq, wire::UNKNOWN_METHOD, "no such method"));
             }
         }
         Ok(())
     }
 
+    /// Answers a message that breaks the protocol.
+    fn offence(&mut self, slot: usize, message: &[u8]) {
+        count(&self.counters.requests_invalid);
+        if let Some(link) = self.links.get_mut(slot) {
+            link.peer.offences += 1;
+            self.queue(slot, message);
+        }
+    }
+
+    /// Nothing is owed under the ticket any more. Danger: hundreds of requests that are taken back in the same
+    /// breath would all go out to executors first; what has not been handed on yet never is.
+    fn forget(&mut self, ticket: Ticket) {
+        let same = |i: &Intake| matches!(i, Intake::Serve { ticket: t, .. } if *t == ticket);
+        match self.intake.iter().rposition(same) {
+            Some(place) => {
+                self.intake.remove(place);
+                count(&self.counters.requests_unread);
+            }
+            None => self.intake.push(Intake::Forget(ticket)),
+        }
+    }
+
     /// A request whose class or tenant the settings lack: nothing was taken in.
     pub fn invalid(&mut self, poll: &Poll, ticket: Ticket, invalid: &Invalid) {
+        let here = self.ticket((ticket.conn >> 32) as usize, ticket.seq as i32) == ticket;
+        if let Some(link) = self.links.get_mut((ticket.conn >> 32) as usize).filter(|_| here) {
+            link.peer.offences += 1;
+        }
         count(&self.counters.requests_invalid);
         self.reply(poll, ticket, |seq| {
             wire::exception("serve", seq, wire::PROTOCOL_ERROR, &invalid.to_string())
@@ -323,7 +395,7 @@
         }
         self.unsent -= link.io.unsent();
         for seq in link.peer.open {
-            self.intake.push(Intake::Forget(Ticket { seq: i64::from(seq), ..serial }));
+            self.forget(Ticket { seq: i64::from(seq), ..serial });
         }
     }
 
@@ -341,9 +413,10 @@
         self.next_sweep = now + SWEEP;
         let mut over = Vec::new();
         for (slot, link) in &self.links {
-            let half_sent = link.io.unread() > 0 && link.peer.open.is_empty();
-            let stalled = (half_sent || link.io.unsent() > 0) && now >= link.peer.used + STALLED;
-            if stalled || (link.peer.open.is_empty() && now >= link.peer.used + IDLE) {
+            let silent = link.peer.partial.is_some_and(|since| now >= since + SILENT);
+            let stalled = link.io.unsent() > 0 && now >= link.peer.used + STALLED;
+            let idle = silent || now >= link.peer.used + IDLE;
+            if stalled || (link.peer.open.is_empty() && link.io.unsent() == 0 && idle) {
                 over.push(slot);
             }
         }
--- a/src/front/thrift/wire.rs
+++ b/src/front/thrift/wire.rs
@@ -22,6 +22,8 @@
 
 /// Application exceptions, by their public numbers.
 pub const UNKNOWN_METHOD: i32 = 1;
+/// A sequence number that can't be.
+pub const BAD_SEQUENCE_ID: i32 = 4;
 /// Any failure inside.
 pub const INTERNAL_ERROR: i32 = 6;
 /// Arguments that can't be used.
--- a/src/node.rs
+++ b/src/node.rs
@@ -26,6 +26,8 @@
 const GRACE: u64 = 750_000;
 /// What is still unsettled this long after SIGTERM is given up: the longest deadline has passed.
 const PATIENCE: u64 = 30_000_000;
+/// The largest body of a request.
+const MOST_BODY: usize = 16 * 1024;
 /// Descriptors kept for all that is no connection.
 const RESERVED: usize = 32;
 
@@ -309,9 +311,19 @@
     if settings.module.classes[class].effect == Effect::Deduplicated && sketch.key.is_none() {
         return Err(Invalid { field: "dedupe", why: "is missing, and the class is keyed" });
     }
+    // Danger: what is larger than the protocol allows may not be readable for an executor, which then closes a
+    // connection that others' requests share.
+    if body.len() > MOST_BODY {
+        return Err(Invalid { field: "body", why: "is larger than 16 KiB" });
+    }
+    // A client waits for its class's time at the most; one that claims far more is not to be believed.
+    if sketch.ttl_us > settings.module.classes[class].deadline.saturating_mul(2) {
+        return Err(Invalid { field: "ttl", why: "is far longer than the class's time" });
+    }
     let tenant = match &sketch.tenant {
         Some(name) => place(&settings.tenants, name).ok_or(Invalid { field: "org", why: "is no tenant" })?,
-        None => 0,
+        None if settings.tenants.is_empty() => 0,
+        None => return Err(Invalid { field: "org", why: "is missing" }),
     };
     Ok(Job {
         class,
