--- a/src/control.rs
+++ b/src/control.rs
@@ -812,7 +812,7 @@
         attempt.open = false;
         let lost = match outcome {
             Outcome::Ok | Outcome::Miss => Some(0.0),
-            // Danger: requests that no worker can use end in errors everywhere, and would take good workers out.
+            // Danger: requests that no worker can use end in errors everywhere, which must condemn none.
             Outcome::Error if !self.functions[function].served => None,
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => Some(1.0),
             // Clients with little time left go before an answer is due.
