A broken or spoilt connection is one event and voids no worker's copies

Each spoilt answer ended its connection, and all that was out on it came to the module as Reset: as many lost answers (Worker::lost) as there were requests, and forget_copies, so that all copies there counted as cold and other workers loaded them anew. At fault: src/executor/pool.rs, close (every break is Reset); src/control.rs, closed (Reset counts once for each request and voids the marks). Ruled out: the list (131 spoilt name answers, all dropped, the last list stood), rules (kept), memory.

--- a/src/control.rs
+++ b/src/control.rs
@@ -45,6 +45,8 @@
 const SECOND_LOOK: f64 = 2.0;
 /// An attempt past this multiple of its expected time counts as lost.
 const SILENCE: f64 = 3.0;
+/// What a spoilt answer counts as, where a lost one counts as 1: the worker runs.
+const SPOILT: f64 = 0.3;
 /// Backups and resends come to this share of the requests at most.
 const EXTRA_SHARE: f64 = 0.1;
 /// Extra attempts that may be saved up.
@@ -126,6 +128,9 @@
     lost: Vec<Evidence>,
     /// When it last answered, by class.
     heard: Vec<Micros>,
+    /// When a connection to it last broke, and when it last answered anything.
+    broke: Micros,
+    heard_any: Micros,
     /// Requests held there for other routers, by the last report, and when it came.
     others: Evidence,
     /// The last send.
@@ -810,10 +815,16 @@
         let function = request.function;
         let Some(attempt) = request.attempts.get_mut(number).filter(|a| a.open) else { return };
         attempt.open = false;
+        let (now, at) = (self.now, attempt.e.worker);
         let lost = match outcome {
             Outcome::Ok | Outcome::Miss => Some(0.0),
             // Danger: requests that no worker can use end in errors everywhere, which must condemn none.
             Outcome::Error if !self.functions[function].served => None,
+            // Danger: a connection that breaks ends all that is out on it; that is one event, not many.
+            Outcome::Reset | Outcome::ConnectFailed | Outcome::Unknown if self.workers[at].broke == now => {
+                None
+            }
+            Outcome::Unknown => Some(SPOILT),
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => Some(1.0),
             // Clients with little time left go before an answer is due.
             Outcome::Timeout if !attempt.lost && *latency as f64 > SILENCE * attempt.e.whole => Some(1.0),
@@ -823,7 +834,6 @@
             !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
         let e = attempt.e;
         let worker = e.worker;
-        let now = self.now;
         let class = self.functions[function].class;
         if let Some(crowd) = crowd.filter(|_| found == Found::Warm) {
             let f = &self.functions[function];
@@ -835,6 +845,7 @@
         if let Some(sample) = lost.filter(|_| found != Found::LoadFailed) {
             w.lost[class].learn(now, self.half, sample);
             w.heard[class] = now;
+            w.heard_any = if sample == 0.0 { now } else { w.heard_any };
         }
         w.open.retain(|o| *o != (id, number));
         let mark = w.marks.entry(function).or_default();
@@ -880,8 +891,15 @@
                     self.learn_slowness(worker, 1.0);
                 }
             }
-            Outcome::Reset | Outcome::ConnectFailed => w.forget_copies(),
-            Outcome::Timeout | Outcome::Cancelled | Outcome::Moot | Outcome::Unknown => {}
+            Outcome::Reset | Outcome::ConnectFailed | Outcome::Unknown => {
+                // Danger: connections break while the process lives on and keeps its copies. It is dead where
+                // no new one comes up either; a restart is also told by the list.
+                if outcome == Outcome::ConnectFailed && w.broke > w.heard_any && w.broke < now {
+                    w.forget_copies();
+                }
+                w.broke = now;
+            }
+            Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
     }
 }
--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -336,9 +336,16 @@
             Closed::Broken => {}
         }
         let written = if link.io.connecting() { 0 } else { link.io.written };
+        // Danger: a spoilt answer, or one cut off in the middle, ends the connection for all on it, but it does
+        // not tell that the process died; taken for that, each would have all copies there believed lost.
+        let spoilt = matches!(why, Closed::Malformed(_)) || link.io.unread() > 0;
         for entry in link.peer.open.into_values() {
             // A line that did not go out whole proves that nothing ran; a whole one may have run.
-            let outcome = if entry.ends > written { Outcome::ConnectFailed } else { Outcome::Reset };
+            let outcome = match entry.ends > written {
+                true => Outcome::ConnectFailed,
+                false if spoilt => Outcome::Unknown,
+                false => Outcome::Reset,
+            };
             self.over(entry.purpose, outcome);
         }
     }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -308,6 +308,27 @@
     assert_eq!(bed.sent(), Some(warm), "a good worker is shunned for what its clients sent");
 }
 
+#[test]
+fn a_broken_connection_neither_voids_the_copies_nor_condemns_the_worker() {
+    for outcome in [Outcome::Reset, Outcome::Unknown] {
+        let mut bed = Bed::new(settings(), 1, 3);
+        let worker = bed.warm(0, "f");
+        bed.serve(0, "f", 20);
+        let open: Vec<RequestId> = (0..4).map(|_| bed.ask(0, "f", 4 * S)).collect();
+        bed.now += 10 * MS;
+        for id in open {
+            bed.close(id, 0, outcome, Found::Untold, 10 * MS);
+        }
+        bed.now += 1_000 * MS;
+        let id = bed.ask(0, "f", 4 * S);
+        assert_eq!(bed.sent(), Some(worker), "{outcome:?}");
+        // The second look comes after twice the expected time: no load is expected.
+        let look = Action::Timer { at: bed.now + 600 * MS, cookie: id };
+        let looks = |a: &Action| matches!((a, &look), (Action::Timer { at, .. }, Action::Timer { at: most, .. }) if at < most);
+        assert!(bed.out.iter().any(looks), "{outcome:?}: {:?}", bed.out);
+    }
+}
+
 #[test]
 fn all_routers_together_keep_a_fresh_worker_within_its_budget_and_use_it() {
     for balancers in [1, 2, 40, 200] {
--- a/tests/sockets/thrift.rs
+++ b/tests/sockets/thrift.rs
@@ -187,6 +187,27 @@
     assert_eq!(executor.left(), 0);
 }
 
+#[test]
+fn a_spoilt_or_cut_answer_ends_its_connection_and_is_no_sign_of_a_dead_executor() {
+    let (program, executor, _names, mut client) = bed();
+    let spoilt =
+        ["no JSON\n", "{\"verb\":\"OK\",\"rid\":", "{\"verb\":\"OK\",\"rid\":\"0\",\"content\":\"A\"}\n"];
+    for (seq, spoilt) in (1..).step_by(2).zip(spoilt) {
+        client.serve(seq, &fields("alert-send", &id(seq as u64), LONG), b"");
+        client.serve(seq + 1, &fields("flow-read", &id(seq as u64 + 1), LONG), b"");
+        let (mut first, second) = (executor.next(), executor.next());
+        assert_eq!(first.connection.peer_addr().ok(), second.connection.peer_addr().ok());
+        first.connection.write_all(spoilt.as_bytes()).expect("sent");
+        let _ = first.connection.shutdown(Shutdown::Both);
+        // What may run once only has failed; the other is repeated, on a connection of its own.
+        assert_eq!(client.receive(), Some((seq, Reply::Failed)), "{spoilt}");
+        executor.next().ok(b"again");
+        assert_eq!(client.receive(), Some((seq + 1, Reply::Served(b"again".to_vec()))), "{spoilt}");
+    }
+    let counters = program.counters();
+    assert_eq!((counters["ended_error"], counters["ended_reset"]), (6, 0), "{counters:?}");
+}
+
 #[test]
 fn an_executor_that_refuses_connections_costs_a_request_nothing() {
     let (executor, names) = (Executor::start(), Names::start());
