--- a/src/control.rs
+++ b/src/control.rs
@@ -2,26 +2,22 @@
 //!
 //! The design is smallest-EET: a request goes to the worker whose predicted finish (load time if its copy is
 //! not believed warm + own pending work there + learned run time) is smallest, and is refused at once when
-//! even that passes the time left. All else here feeds that estimate, or takes workers out of it for a stated
-//! reason: drains, the budget of a cold worker, the class's limits on repeats, a worker's silence or
-//! failures. State belongs to one instance; time comes with the events; randomness comes from the seed.
+//! even that passes the time left. All else feeds that estimate, takes workers out of it, or keeps copies.
 
 use crate::api::*;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use siphasher::sip::SipHasher13;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{Hash, Hasher};
 
 /// Run time of a class before any answer, as a share of its aim: aims leave room for waits.
 const PRIOR_RUN: f64 = 0.25;
 /// Load time where none is told or learned (the design's stand-in).
 const PRIOR_LOAD: f64 = 1_000_000.0;
-/// Weight of a new answer in a function's (and a class's) run time once some are in: small, since they change
-/// less than workers, and a slow worker must not teach that its functions are slow everywhere.
+/// Weight of a new answer in a function's and a class's run time: small, since they change less than workers.
 const LEARN_RUN: f64 = 0.03;
-/// What is expected of a worker or a function counts as this many answers: run times vary as much as their
-/// mean, so that a few tell little.
+/// What is expected of a worker or a function counts as this many answers: run times vary, a few tell little.
 const DOUBT: f64 = 3.0;
 /// This many answers of a worker tell, however many come: it must be seen to turn slow at once.
 const LAST: f64 = 10.0;
@@ -31,50 +27,57 @@
 const ERROR_CAP: f64 = 4.0;
 /// A load that took less than this share of what was expected was not a whole one.
 const LOAD_LEAST: f64 = 0.3;
-/// Half of what was observed is forgotten in this share of the keep-alive, so that a recovered worker or
-/// store is seen to have recovered.
+/// Half of what was observed is forgotten in this share of the keep-alive: workers and the store recover.
 const FORGET: f64 = 0.5;
 /// Share of the keep-alive for which an idle copy is believed: clocks and messages are late.
 const BELIEVE: f64 = 0.95;
 /// A load is believed to be under way for this multiple of its expected time.
 const LOAD_PATIENCE: f64 = 4.0;
-/// Cold workers within this multiple of a load time are a tie, broken by a hash that all routers share:
-/// agreement saves fetches and evictions, which cost more than the shorter of two queues gains.
+/// Cold workers within this multiple of a load time are a tie, broken by a hash that all routers share.
 const COLD_TIE: f64 = 2.0;
-/// A second look at an attempt comes after this multiple of its expected time (the design's backup factor).
-const SECOND_LOOK: f64 = 2.0;
+/// A second look at an attempt comes after this multiple of its expected time (the design's backup factor):
+/// work that is merely long looks alike sooner, and a second attempt at it wastes as much again.
+const SECOND_LOOK: f64 = 5.0;
 /// An attempt past this multiple of its expected time counts as lost.
-const SILENCE: f64 = 3.0;
+const SILENCE: f64 = 6.0;
 /// What a spoilt answer counts as, where a lost one counts as 1: the worker runs.
 const SPOILT: f64 = 0.3;
-/// Backups and resends come to this share of the requests at most.
+/// Resends after failures come to this share of the requests at most, and backups to that.
 const EXTRA_SHARE: f64 = 0.1;
-/// Extra attempts that may be saved up.
+const BACKUP_SHARE: f64 = 0.05;
+/// Extra attempts of either kind that may be saved up.
 const EXTRA_MOST: f64 = 10.0;
 /// Share of the repeat window of a keyed class that is used: clocks and messages are late.
 const WINDOW_USED: f64 = 0.8;
 /// Share of a cold worker's budget that the routers use.
 const COLD_USED: f64 = 0.6;
-/// A router's turn at a cold worker lapses after this share of the rule's window: turns saved up by many
-/// routers would come all at once.
+/// A router's turn at a cold worker lapses after this share of the rule's window, not to be saved up.
 const TURN_KEPT: f64 = 0.5;
-/// Load that one copy is meant to carry, as a share of its lanes: a function whose observed demand passes it
-/// has its home at one more worker.
-const FILL: f64 = 0.5;
-/// Where no report tells, a request of ours in flight at a worker speaks for up to this many of others': all
-/// find the same worker best. Bounded: with many routers one request in flight is mostly chance.
+/// Load that one copy is meant to carry, as a share of its lanes: beyond it, a function has one more home.
+const FILL: f64 = 0.3;
+/// Where no report tells, a request of ours in flight at a worker speaks for up to this many of others'.
 const UNSEEN: f64 = 2.0;
 /// Warm workers are told apart only beyond this share of a run: one router of many sees little, and late.
 const VIEW_ERROR: f64 = 0.5;
+/// A crossing of halls weighs so many times its price: an answer that is a little later earns no less.
+const HALL: f64 = 10.0;
 /// Before any answer, the chance that others keep a function warm at its homes.
 const PRIOR_FOUND: f64 = 0.5;
-/// A tenant's quota may be saved up for this long, so that an uneven stream within it does not count as
-/// beyond.
+/// A tenant's quota may be saved up for this long: an uneven stream within it is not beyond it.
 const QUOTA_SAVED: f64 = 1_000_000.0;
-/// Waits and runs within this share of an aim are no queue. A cold worker is idle enough for one more copy
-/// within it; a request beyond its tenant's quota may spend no more; one worth less than others, little more.
+/// Waits and runs within this share of an aim are no queue: all that a request beyond its quota may spend.
 const IDLE: f64 = 0.4;
 
+/// A copy idle for this share of the keep-alive is ordered held.
+const REFRESH: f64 = 0.75;
+/// A copy that this router has not used for so many keep-alives is let go.
+const WANTED: f64 = 3.0;
+/// Share of the ration of loads that is used: clocks differ.
+const RATION: f64 = 0.9;
+
+/// Functions remembered: all that are in use, many times over.
+const MOST_FUNCTIONS: usize = 1024;
+
 /// A sum of samples that fade with time, and their weight.
 #[derive(Default, Clone, Copy)]
 struct Evidence {
@@ -118,22 +121,19 @@
     zone: usize,
     cell: usize,
     up: bool,
+    listed: bool,
     ready_at: Option<Micros>,
     marks: BTreeMap<usize, Mark>,
-    /// Open attempts: request and number.
     open: Vec<(RequestId, usize)>,
     /// Observed over predicted times: slow machines, and queues that other routers feed.
     slow: Evidence,
-    /// Whether attempts were lost or failed, by class.
     lost: Vec<Evidence>,
-    /// When it last answered, by class.
     heard: Vec<Micros>,
     /// When a connection to it last broke, and when it last answered anything.
     broke: Micros,
     heard_any: Micros,
     /// Requests held there for other routers, by the last report, and when it came.
     others: Evidence,
-    /// The last send.
     sent: Micros,
     /// While cold: the last of its turns that this router took.
     turn: u64,
@@ -146,7 +146,7 @@
     /// When the load under way began and should end.
     loading: Option<(Micros, Micros)>,
     used: Micros,
-    /// Own requests for the function in flight there.
+    asked: Micros,
     own: u32,
     /// Requests for the function from others, by the last note.
     others: f64,
@@ -161,9 +161,7 @@
     load: Option<f64>,
     run: f64,
     answers: u32,
-    /// It was served, by whomever.
     served: bool,
-    /// This router's requests for it.
     seen: Evidence,
     /// Whether it was found loaded at homes where this router did not know.
     found: Evidence,
@@ -174,7 +172,6 @@
     crowd: Evidence,
 }
 
-/// What is learned of a class as a whole.
 #[derive(Default)]
 struct Pool {
     run: f64,
@@ -186,7 +183,6 @@
 }
 
 struct Attempt {
-    /// What was expected as it went out.
     e: Estimate,
     sent: Micros,
     open: bool,
@@ -198,7 +194,6 @@
 struct Request {
     class: usize,
     function: usize,
-    /// Its tenant had used up its quota when it came.
     over_quota: bool,
     deadline: Micros,
     ended: bool,
@@ -206,24 +201,21 @@
     attempts: Vec<Attempt>,
 }
 
-/// A predicted finish.
 #[derive(Clone, Copy)]
 struct Estimate {
     worker: usize,
     total: f64,
-    /// What the chance of a loss adds to it.
+    /// What the chance of a loss and the price of a crossing add to it in a choice: they refuse nothing.
     risk: f64,
     /// The part of it that is a load, own or awaited.
     load: f64,
     run: f64,
-    /// It begins a load of its own.
     cold: bool,
     /// A home whose copy this router has not seen, but others may have kept.
     blind: bool,
-    /// The finish if a copy stands, and if it has to be loaded where that is not ruled out.
+    /// The finish if a copy stands, and if it has to be loaded.
     warm: f64,
     whole: f64,
-    /// The turn that a send takes there, while the worker is cold.
     turn: u64,
     /// Nothing of this router's is in flight there, nor has been for a while.
     idle: bool,
@@ -246,7 +238,6 @@
     set: Settings,
     rng: Pcg32,
     now: Micros,
-    /// The time in which half of what was observed is forgotten.
     half: f64,
     workers: Vec<Worker>,
     worker_ids: BTreeMap<WorkerId, usize>,
@@ -254,13 +245,15 @@
     function_ids: BTreeMap<FunctionId, usize>,
     requests: BTreeMap<RequestId, Request>,
     pools: Vec<Pool>,
-    /// Requests served.
     served: Evidence,
-    /// Changes of the list so far.
     list_version: u64,
-    /// Observed over expected load times.
     store: Evidence,
     extra: f64,
+    spare: f64,
+    /// Requests taken and loads ordered within the window of the ration.
+    taken: VecDeque<Micros>,
+    ordered: VecDeque<Micros>,
+    tended: Micros,
     /// This router's part of each tenant's quota: what is left, and since when.
     quota_left: Vec<(f64, Micros)>,
 }
@@ -293,10 +286,19 @@
             list_version: 0,
             store: Evidence::default(),
             extra: EXTRA_MOST,
+            spare: EXTRA_MOST,
+            taken: VecDeque::new(),
+            ordered: VecDeque::new(),
+            tended: 0,
             quota_left,
         }
     }
 
+    /// Workers, functions and requests that it holds something of.
+    pub fn held(&self) -> (usize, usize, usize) {
+        (self.workers.len(), self.functions.len(), self.requests.len())
+    }
+
     /// New settings with the same classes and tenants; what was learned stays.
     pub fn configure(&mut self, set: Settings) {
         self.set = usable(set);
@@ -309,6 +311,12 @@
         match event {
             Event::Workers { complete, entries } => self.list(*complete, entries, out),
             Event::ListRefused if self.set.list_on_request => out.push(Action::Watch),
+            Event::Loaded { worker, function, outcome: Outcome::Full | Outcome::Error, copies, .. } => {
+                let at = self.worker_ids.get(worker).zip(self.function_ids.get(function));
+                if let Some(mark) = at.and_then(|(w, f)| self.workers[*w].marks.get_mut(f)) {
+                    (mark.copies, mark.loading) = (*copies, None);
+                }
+            }
             Event::ListRefused | Event::Loaded { .. } => {}
             Event::Request { id, class, tenant, function, lanes, load_time, time_left } => {
                 if *class >= self.set.classes.len() || self.requests.contains_key(id) {
@@ -317,6 +325,7 @@
                 let function = self.function(function, *class, *lanes, *load_time);
                 let deadline = self.now.saturating_add(*time_left);
                 self.extra = (self.extra + EXTRA_SHARE).min(EXTRA_MOST);
+                self.spare = (self.spare + BACKUP_SHARE).min(EXTRA_MOST);
                 let (class, over_quota) = (*class, self.over_quota(*tenant));
                 let request = Request { class, function, over_quota, deadline, ..Request::default() };
                 self.requests.insert(*id, request);
@@ -324,6 +333,7 @@
                 out.push(Action::Timer { at: deadline, cookie: *id });
                 self.decide(*id, out);
                 self.functions[function].seen.add(self.now, self.half, 1.0);
+                self.tend(out);
             }
             Event::Outcome { id, last, .. } => {
                 self.closed(event);
@@ -356,18 +366,14 @@
             out.push(Action::Watch);
         }
         if complete {
-            self.workers.iter_mut().for_each(|w| w.up = false);
+            let listed = |w: &Worker| entries.iter().any(|e| e.worker == w.id);
+            self.workers.iter_mut().for_each(|w| (w.up, w.listed) = (false, listed(w)));
         }
         self.list_version += 1;
         for entry in entries {
-            let index = *self.worker_ids.entry(entry.worker.clone()).or_insert(self.workers.len());
-            if index == self.workers.len() {
-                let (id, ready_at) = (entry.worker.clone(), entry.ready_at);
-                let lost = vec![Evidence::default(); self.set.classes.len()];
-                let heard = vec![0; self.set.classes.len()];
-                self.workers.push(Worker { id, ready_at, lost, heard, ..Worker::default() });
-            }
+            let index = self.worker_ids.get(&entry.worker).copied().unwrap_or_else(|| self.place(entry));
             let worker = &mut self.workers[index];
+            worker.listed = entry.standing != Standing::Gone;
             if entry.standing != Standing::Gone {
                 // The last word on a machine that is gone tells nothing of where it stood.
                 (worker.zone, worker.cell) = (entry.zone, entry.cell);
@@ -384,18 +390,88 @@
         }
     }
 
+    // ---- Copies kept and loaded ahead ----
+
+    /// Danger: a copy that nobody has used for a while is unloaded, and the next request waits for a load. An
+    /// order to hold it costs little, within the ration of orders.
+    fn tend(&mut self, out: &mut Vec<Action>) {
+        self.taken.push_back(self.now);
+        if !self.set.orders
+            || self.set.load_window == 0
+            || self.now < self.tended + self.set.load_window / 100
+        {
+            return;
+        }
+        self.tended = self.now;
+        let keep = self.set.keep_alive as f64;
+        let mut due: Vec<(f64, usize, usize)> = Vec::new();
+        for (n, w) in self.workers.iter().enumerate().filter(|(_, w)| w.up) {
+            for (f, m) in w.marks.iter().filter(|(_, m)| m.copies > 0 && m.loading.is_none() && m.own == 0) {
+                let (idle, unasked) = ((self.now - m.used) as f64 / keep, (self.now - m.asked) as f64 / keep);
+                if (REFRESH..BELIEVE).contains(&idle) && unasked < WANTED && self.functions[*f].served {
+                    due.push((self.functions[*f].seen.rate(self.now, self.half), n, *f));
+                }
+            }
+        }
+        due.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let since = self.now.saturating_sub(self.set.load_window);
+        self.taken.retain(|t| *t > since);
+        self.ordered.retain(|t| *t >= since);
+        let most = self.set.loads_anyway + self.set.loads_per_request * self.taken.len() as f64;
+        let left = (RATION * most) as usize;
+        for (_, worker, function) in due.into_iter().take(left.saturating_sub(self.ordered.len())) {
+            self.ordered.push_back(self.now);
+            let (w, id) = (&mut self.workers[worker], self.functions[function].id.clone());
+            w.marks.entry(function).and_modify(|m| m.used = self.now);
+            out.push(Action::Load { worker: w.id.clone(), function: id, copies: 1 });
+        }
+    }
+
+    /// A place for a worker. Danger: workers replaced all day long would fill the memory; one that is gone,
+    /// and of which no request tells any more, gives up its place.
+    fn place(&mut self, entry: &Listing) -> usize {
+        let told = |n| self.requests.values().any(|r| r.attempts.iter().any(|a| a.e.worker == n));
+        // What was sent to one that is back soon still counts against its budget.
+        let old = |w: &Worker| w.sent + self.set.warm_after < self.now && w.open.is_empty();
+        let over = |n: &usize| !self.workers[*n].listed && old(&self.workers[*n]) && !told(*n);
+        let free = (0..self.workers.len()).find(over);
+        let (id, ready_at, classes) = (entry.worker.clone(), entry.ready_at, self.set.classes.len());
+        let (lost, heard) = (vec![Evidence::default(); classes], vec![0; classes]);
+        let worker = Worker { id: id.clone(), ready_at, lost, heard, ..Worker::default() };
+        let index = free.unwrap_or(self.workers.len());
+        match free {
+            Some(n) => drop(self.worker_ids.remove(&std::mem::replace(&mut self.workers[n], worker).id)),
+            None => self.workers.push(worker),
+        }
+        self.worker_ids.insert(id, index);
+        index
+    }
+
     // ---- Run- and load-time estimates ----
 
     fn function(&mut self, id: &FunctionId, class: usize, lanes: f64, load: Option<Micros>) -> usize {
-        let index = *self.function_ids.entry(id.clone()).or_insert(self.functions.len());
-        if index == self.functions.len() {
-            let run = self.pools[class].run;
-            let (id, lanes) = (id.clone(), 1.0);
+        let index = self.function_ids.get(id).copied().unwrap_or_else(|| {
+            // Danger: functions that come and go, or that clients make up, would fill the memory. Beyond so
+            // many, the one unasked longest that no request names gives up its place.
+            let free = Some(self.functions.len()).filter(|n| *n < MOST_FUNCTIONS).or_else(|| {
+                let named: BTreeSet<usize> = self.requests.values().map(|r| r.function).collect();
+                let over = (0..self.functions.len()).filter(|f| !named.contains(f));
+                over.min_by_key(|f| (self.functions[*f].served, self.functions[*f].seen.at))
+            });
+            let (index, run) = (free.unwrap_or(self.functions.len()), self.pools[class].run);
             // Marks aged out go as functions come, so that those kept are bounded by one keep-alive.
             let old = self.now.saturating_sub(self.set.keep_alive);
-            self.workers.iter_mut().for_each(|w| w.marks.retain(|_, m| m.own > 0 || m.used >= old));
-            self.functions.push(Function { id, class, lanes, run, ..Function::default() });
-        }
+            let kept = |f: usize, m: &Mark| f != index && (m.own > 0 || m.used >= old);
+            self.workers.iter_mut().for_each(|w| w.marks.retain(|f, m| kept(*f, m)));
+            let function = Function { id: id.clone(), class, lanes: 1.0, run, ..Function::default() };
+            if index < self.functions.len() {
+                self.function_ids.remove(&std::mem::replace(&mut self.functions[index], function).id);
+            } else {
+                self.functions.push(function);
+            }
+            self.function_ids.insert(id.clone(), index);
+            index
+        });
         let function = &mut self.functions[index];
         if function.ranked != self.list_version {
             let mut ranks: Vec<(u64, usize)> = (self.workers.iter().enumerate())
@@ -435,17 +511,15 @@
         self.learn_slowness(worker, error);
         let f = &mut self.functions[function];
         f.answers += 1;
-        // Danger: a router that gets a few answers of a function takes a queue for its nature. What is far
-        // over the expected tells of the worker alone.
+        // Danger: a queue is taken for a function's nature. What is far over tells of the worker alone.
         let error = error.min(1.0);
         f.run += (1.0 / (f64::from(f.answers) + DOUBT)).max(LEARN_RUN) * f.run * error;
         let class = &mut self.pools[f.class].run;
         *class += LEARN_RUN * (f.run - *class);
     }
 
-    /// A load that this router began teaches the function's load time where that is not told; against what
-    /// was known of it before, it teaches the store's factor. One far shorter than expected had begun before,
-    /// or stood.
+    /// A load that this router began teaches the function's load time where that is not told, and the store's
+    /// factor. One far shorter than expected had begun before, or stood.
     fn learn_load(&mut self, function: usize, took: f64) {
         let base = self.base_load(&self.functions[function]);
         if took < LOAD_LEAST * base {
@@ -486,8 +560,7 @@
                     KeyScope::Zone => group.zone == w.zone,
                     KeyScope::Cell => group.zone == w.zone && group.cell == w.cell,
                 };
-                // Danger: an attempt proved not to have run, but pending as the next one went out, still
-                // starts the window. The earliest send can only be too strict.
+                // Danger: an attempt proved not to have run still starts the window where it was pending.
                 let began = request.attempts[0].sent;
                 same && ((self.now - began) as f64) < WINDOW_USED * class.repeat_window as f64
             }
@@ -511,9 +584,8 @@
     }
 
     /// Danger: all routers together push a fresh worker over. Its budget, as requests in order of time, goes
-    /// round the routers in turn, so that their sum keeps to it with two routers as with two hundred; a turn
-    /// not used lapses. Its capacity is taken for what its peers are seen to serve on average, which is no
-    /// more than they could, or for one core. Returns the turn to take; `None` if it is another's.
+    /// round the routers in turn; a turn not used lapses. Its capacity is taken for what its peers are seen
+    /// to serve, or for one core. Returns the turn to take; `None`: another's.
     fn turn(&self, w: &Worker, f: &Function) -> Option<u64> {
         let age = w.ready_at.map_or(f64::INFINITY, |r| self.now.saturating_sub(r) as f64);
         let warm = self.set.warm_after as f64;
@@ -521,7 +593,9 @@
             return Some(w.turn);
         }
         let routers = self.set.balancers as u64;
-        let each = self.served.rate(self.now, self.half) * routers as f64 / f.homes.len().max(1) as f64;
+        // The list as it is now: a function's homes may be those of an older one.
+        let up = self.workers.iter().filter(|w| w.up).count().max(1) as f64;
+        let each = self.served.rate(self.now, self.half) * routers as f64 / up;
         let most = COLD_USED * self.set.fall_multiple * each.max(1.0 / self.pools[f.class].run.max(1.0));
         let least = self.set.cold_share;
         let turns = |age: f64| (most * (least * age + (1.0 - least) * age * age / (2.0 * warm))) as u64;
@@ -570,15 +644,13 @@
         let held = f64::from(mark.own) + mark.others;
         let slots = f.lanes * f64::from(copies.max(1));
         let lane_wait = run * ((held + 1.0 - slots) / slots).max(0.0);
-        let mut total = self.set.tick as f64 + load + pending.max(lane_wait) + run;
-        if w.zone != self.set.my_zone {
-            total += self.set.cross_zone_price * class.aim as f64;
-        }
+        let total = self.set.tick as f64 + load + pending.max(lane_wait) + run;
+        let crossing = if w.zone == self.set.my_zone { 0.0 } else { HALL * self.set.cross_zone_price };
         // Danger: fast failures make a worker look idle and would draw all traffic; a hang, a cut link, a
         // dead process not yet listed, answers that get lost or one class unserved are silence. A loss costs
         // the client's whole patience. What befalls all workers alike moves no choice, and no risk refuses.
-        // Could hurt where long work is rare and looks lost: the worker loses a few sends until that fades.
-        let risk = w.lost[request.class].mean(self.now, self.half, 0.0, DOUBT) * class.deadline as f64;
+        let risk = w.lost[request.class].mean(self.now, self.half, 0.0, DOUBT) * class.deadline as f64
+            + crossing * class.aim as f64;
         // Only the usual time of a load is nobody's fault: what a slow store adds counts as a queue.
         let expected_load = load;
         let load = load.min(self.base_load(f));
@@ -600,8 +672,7 @@
         })
     }
 
-    /// All routers' requests for the function, and the number of its homes. What one of many routers sees
-    /// says little; the crowds that its requests met, where told, say more, also of functions new to it.
+    /// All routers' requests for the function, and the number of its homes, by the crowds that answers told.
     fn demand(&self, f: &Function) -> (f64, f64) {
         let rate = f.seen.rate(self.now, self.half) * self.set.balancers as f64;
         let of_class = self.pools[f.class].crowd.mean(self.now, self.half, rate * f.run, 1.0);
@@ -611,8 +682,7 @@
         (rate, (busy / (f.lanes.min(2.0) * FILL)).max(1.0).ceil())
     }
 
-    /// The chance that other routers keep the function warm at the worker, if that is one of its homes: the
-    /// first ranks, as many as its demand asks for.
+    /// The chance that others keep the function warm at the worker, if that is one of its first ranks.
     fn kept_by_others(&self, f: &Function, worker: usize, (rate, homes): (f64, f64)) -> Option<f64> {
         let half = self.half;
         f.homes.iter().take(homes as usize).find(|h| **h == worker)?;
@@ -627,8 +697,7 @@
         if let Some((began, due)) = mark.loading {
             let patience = LOAD_PATIENCE * (due - began) as f64;
             if ((self.now - began) as f64) < patience {
-                // The later it is, the longer it still takes: as long again as so far, but for one whole
-                // load.
+                // The later it is, the longer it still takes, but for one whole load at most.
                 let (left, so_far) = (due.saturating_sub(self.now), self.now - began);
                 return Warmth::Loading(left.max(so_far.min(due - began)) as f64);
             }
@@ -641,8 +710,7 @@
     }
 
     /// The smallest estimate among the workers that may be sent to. Cold workers that are about equal are
-    /// told apart by a hash of function and worker: all routers, also restarted ones, then choose the same
-    /// one, share its copy and fetch once. Ties of warm workers break at random.
+    /// told apart by a hash, alike for all routers, who then fetch once. Warm ties break at random.
     fn best(&mut self, request: &Request, only_cold: bool) -> Option<Estimate> {
         let mut warm: Vec<Estimate> = Vec::new();
         let mut cold: Vec<Estimate> = Vec::new();
@@ -692,8 +760,7 @@
                 self.send(id, e, out);
             }
             _ if refusable => {
-                // Danger: an estimate that refuses everything is never corrected by an answer. Each refusal
-                // moves it back towards what is expected of a function that no one knows.
+                // Danger: an estimate that refuses everything is never corrected by an answer, but by this.
                 let f = &mut self.functions[function];
                 f.run -= LEARN_RUN * (f.run - PRIOR_RUN * whole_aim).max(0.0);
                 let over = choice.map_or(self.set.max_retry_after as f64, |e| (e.likely() - left).max(0.0));
@@ -711,7 +778,7 @@
         w.open.push((id, request.attempts.len()));
         let mark = w.marks.entry(request.function).or_default();
         mark.own += 1;
-        mark.used = self.now;
+        (mark.used, mark.asked) = (self.now, self.now);
         if e.cold {
             *mark = Mark {
                 copies: 0,
@@ -741,10 +808,10 @@
             let silence = a.sent.saturating_add((SILENCE * a.e.whole) as Micros);
             let quiet = self.workers[a.e.worker].heard[class] <= a.sent;
             a.lost = self.now >= silence;
-            if a.lost && quiet {
-                self.workers[a.e.worker].lost[class].learn(self.now, self.half, 1.0);
-            } else {
+            if !a.lost {
                 due = due.min(silence);
+            } else if quiet {
+                self.workers[a.e.worker].lost[class].learn(self.now, self.half, 1.0);
             }
         }
         if due < request.deadline {
@@ -757,7 +824,7 @@
             (self.now - a.sent) as f64 + 1.0 < SECOND_LOOK * a.e.whole
                 || self.workers[a.e.worker].heard[class] > a.sent
         };
-        if self.extra < 1.0 || last.is_none_or(early) {
+        if self.spare < 1.0 || last.is_none_or(early) {
             return;
         }
         if self.set.may_duplicate {
@@ -778,7 +845,7 @@
         let twice = request.attempts.iter().filter(|a| a.open).count() > 1;
         self.requests.insert(id, request);
         if let Some(e) = choice.filter(|_| !twice) {
-            self.extra -= 1.0;
+            self.spare -= 1.0;
             self.send(id, e, out);
         }
     }
@@ -910,7 +977,6 @@
     }
 }
 
-/// What is believed of the copies at a worker; a load under way has this long to go.
 enum Warmth {
     Warm,
     Loading(f64),
