Give clients the descriptors that executors do not need; bound answers by the memory

Checked: 166 is 384/3 + 16 and a few more, the bound on clients in src/node.rs; with every slot taken, accepting paused for 50 ms (PAUSE) and only connections idle for 250 ms gave way (EVICTABLE in src/front/thrift/front.rs), so new connections waited in the system's queue. Ruled out: processor (0.05 of a core), memory (1 MB), executors (36 connections). Now: executors keep a quarter of the descriptors, clients may have the rest less the reserve; one that was answered gives way after 60 ms (a request that crosses such a close is sent again), accepting resumes after 5 ms. A client's frame is 32 KiB at most.

--- a/src/executor/mod.rs
+++ b/src/executor/mod.rs
@@ -5,4 +5,5 @@
 mod peer;
 mod pool;
 
+pub use peer::MOST_LINE;
 pub use pool::{Limits, Pool, Report};
--- a/src/executor/peer.rs
+++ b/src/executor/peer.rs
@@ -6,7 +6,7 @@
 use crate::net::{Callbacks, Malformed, Ring};
 use std::collections::BTreeMap;
 
-/// The largest line read.
+/// The largest line read, however much memory there is.
 pub const MOST_LINE: usize = 512 * 1024;
 /// Bytes that may wait to be sent.
 pub const MOST_UNSENT: usize = 2 * 1024 * 1024;
--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -1,7 +1,7 @@
 //! The connections to all executors: which one a request goes out on, and how its attempt ends.
 
 use super::line::{self, Answer};
-use super::peer::{Entry, MOST_LINE, MOST_UNSENT, Peer, Purpose};
+use super::peer::{Entry, MOST_UNSENT, Peer, Purpose};
 use crate::api::{Found, FunctionId, Outcome, WorkerId};
 use crate::core::{AttemptId, Ended, Job};
 use crate::counters::{Counters, count};
@@ -26,6 +26,8 @@
 pub struct Limits {
     /// Connections at a time.
     pub connections: usize,
+    /// The longest line of an answer, in bytes.
+    pub line: usize,
     /// Requests open on a connection.
     pub streams: usize,
     /// How long a connection may take to come up.
@@ -251,7 +253,7 @@
         let entry = self.links.vacant_entry();
         let token = poll.token(self.owner, entry.key());
         let peer = Peer::new(worker.clone(), now);
-        match Link::connect(poll, address, token, peer, (MOST_LINE, MOST_UNSENT)) {
+        match Link::connect(poll, address, token, peer, (self.limits.line, MOST_UNSENT)) {
             Ok(link) => Ok(entry.insert(link).io.token().slot as usize),
             Err(_) => {
                 count(&self.counters.executor_connects_failed);
--- a/src/front/thrift/front.rs
+++ b/src/front/thrift/front.rs
@@ -27,11 +27,12 @@
 const MOST_OFFENCES: u32 = 16;
 /// A connection with nothing open on it is closed after this long.
 const IDLE: u64 = 60_000_000;
-/// One idle for this long may be closed sooner, where another waits for its place: one that never sent a whole
-/// message before any other.
+/// One that never sent a whole message may be closed after this long, where another waits for its place.
 const EVICTABLE: u64 = 250_000;
+/// One that was answered may be closed after this long: a request that crosses a close within 50 ms is sent again.
+const ANSWERED: u64 = 60_000;
 /// After running out of descriptors accepting stops for this long.
-const PAUSE: u64 = 50_000;
+const PAUSE: u64 = 5_000;
 /// How often connections are looked through for those that stalled.
 const SWEEP: u64 = 250_000;
 
@@ -234,7 +235,7 @@
         // Danger: a request may be on its way on a connection that has just been accepted or used.
         let idle = |l: &Link<Client>| {
             let quiet = l.peer.open.is_empty() && l.io.unsent() == 0 && l.io.unread() == 0;
-            quiet && now >= l.peer.used + EVICTABLE
+            quiet && now >= l.peer.used + if l.peer.messages > 0 { ANSWERED } else { EVICTABLE }
         };
         let first = |l: &Link<Client>| (l.peer.messages > 0, l.peer.used);
         let oldest = self.links.iter().filter(|(_, l)| idle(l)).min_by_key(|(_, l)| first(l));
@@ -318,33 +319,34 @@
     }
 
     /// A request whose class or tenant the settings lack: nothing was taken in.
-    pub fn invalid(&mut self, poll: &Poll, ticket: Ticket, invalid: &Invalid) {
+    pub fn invalid(&mut self, poll: &Poll, now: u64, ticket: Ticket, invalid: &Invalid) {
         let here = self.ticket((ticket.conn >> 32) as usize, ticket.seq as i32) == ticket;
         if let Some(link) = self.links.get_mut((ticket.conn >> 32) as usize).filter(|_| here) {
             link.peer.offences += 1;
         }
         count(&self.counters.requests_invalid);
-        self.reply(poll, ticket, |seq| {
+        self.reply(poll, now, ticket, |seq| {
             wire::exception("serve", seq, wire::PROTOCOL_ERROR, &invalid.to_string())
         });
     }
 
     /// Writes the final answer of a request.
-    pub fn answer(&mut self, poll: &Poll, ticket: Ticket, answer: &Final) {
-        self.reply(poll, ticket, |seq| match answer {
+    pub fn answer(&mut self, poll: &Poll, now: u64, ticket: Ticket, answer: &Final) {
+        self.reply(poll, now, ticket, |seq| match answer {
             Final::Served(body) => wire::answer("serve", seq, body, true),
             Final::Refused(after) => wire::refused(seq, Some(after.div_ceil(1000))),
             Final::Failed(why) => wire::failed(seq, why),
         });
     }
 
-    fn reply(&mut self, poll: &Poll, ticket: Ticket, message: impl FnOnce(i32) -> Vec<u8>) {
+    fn reply(&mut self, poll: &Poll, now: u64, ticket: Ticket, message: impl FnOnce(i32) -> Vec<u8>) {
         let (slot, seq) = ((ticket.conn >> 32) as usize, ticket.seq as i32);
         let here = self.ticket(slot, seq) == ticket;
         let Some(link) = self.links.get_mut(slot).filter(|l| here && l.peer.open.contains(&seq)) else {
             return count(&self.counters.answers_lost);
         };
         link.peer.open.remove(&seq);
+        link.peer.used = now;
         self.queue(slot, &message(seq));
         self.flush(poll, slot);
     }
--- a/src/front/thrift/wire.rs
+++ b/src/front/thrift/wire.rs
@@ -4,7 +4,7 @@
 use crate::net::{Malformed, Reader};
 
 /// The largest frame taken: a body of 16 KiB, its fields, and room to spare.
-pub const MOST_FRAME: usize = 64 * 1024;
+pub const MOST_FRAME: usize = 32 * 1024;
 /// The deepest nesting of values that are skipped.
 const MOST_DEPTH: usize = 16;
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -26,8 +26,10 @@
 const GRACE: u64 = 750_000;
 /// What is still unsettled this long after SIGTERM is given up: the longest deadline has passed.
 const PATIENCE: u64 = 30_000_000;
-/// The largest body of a request.
+/// The largest body of a request, or of an answer.
 const MOST_BODY: usize = 16 * 1024;
+/// The longest line that an executor's answer may take: its body in base64, and as much again.
+const LEAST_LINE: usize = MOST_BODY / 3 * 4 * 2;
 /// Descriptors kept for all that is no connection.
 const RESERVED: usize = 32;
 
@@ -245,7 +247,7 @@
             Command::Answer { ticket, answer } => {
                 match self.mqtt.get_mut(usize::from(ticket.front.wrapping_sub(MQTT))) {
                     Some(front) => front.answer(poll, now, ticket, answer),
-                    None => self.thrift.answer(poll, ticket, &answer),
+                    None => self.thrift.answer(poll, now, ticket, &answer),
                 }
             }
         }
@@ -254,7 +256,7 @@
     fn invalid(&mut self, ticket: Ticket, invalid: &Invalid) {
         match self.mqtt.get_mut(usize::from(ticket.front.wrapping_sub(MQTT))) {
             Some(front) => front.invalid(&self.poll, self.now, ticket, invalid),
-            None => self.thrift.invalid(&self.poll, ticket, invalid),
+            None => self.thrift.invalid(&self.poll, self.now, ticket, invalid),
         }
     }
 
@@ -279,9 +281,11 @@
 fn limits(config: &Config) -> (Bounds, executor::Limits, thrift::Limits) {
     let settings = &config.settings;
     let (memory, sockets) = (config.resources.memory, config.resources.sockets);
-    // Shared out up front: clients may hold a third, and what they don't is not lent to them.
-    let clients = sockets / 3 + RESERVED / 2;
-    let executors = sockets.saturating_sub(clients + RESERVED).max(8);
+    // Danger: usual clients hold a third at most, but those that ask once and stay, or say nothing, come on top;
+    // with no room beyond the third, connections wait in the queue of the system while their time runs. So
+    // executors are kept a quarter, many times what they need, and clients may have the rest.
+    let executors = (sockets / 4).max(8);
+    let clients = sockets.saturating_sub(executors + RESERVED).max(8);
     let bounds = Bounds {
         attempts: settings.module.max_attempts,
         load_wait: settings.load_wait,
@@ -292,6 +296,8 @@
     };
     let pool = executor::Limits {
         connections: executors,
+        // Danger: answers that never end, on all connections at once, must not fill the memory.
+        line: (memory / 4 / executors).clamp(LEAST_LINE, executor::MOST_LINE),
         streams: settings.streams_per_conn,
         connect_timeout: settings.connect_timeout,
         keepalive: settings.keepalive,
--- a/tests/sockets/thrift.rs
+++ b/tests/sockets/thrift.rs
@@ -410,6 +410,40 @@
     assert_eq!(program.counters()["clients_closed"], 2);
 }
 
+#[test]
+fn clients_may_have_the_descriptors_that_executors_do_not_need() {
+    // Danger: beyond a third, connections waited in the system's queue while descriptors lay idle.
+    let (executor, names) = (Executor::start(), Names::start());
+    let mut config = config(&[&executor], &names);
+    config["limits"]["sockets"] = json!(256);
+    let program = Program::start(&config);
+    let _silent: Vec<Client> = (0..150).map(|_| Client::connect(program.address)).collect();
+    let mut last = Client::connect(program.address);
+    last.other("isWell", 1);
+    assert_eq!(last.receive(), Some((1, Reply::Well(true))));
+    let counters = program.counters();
+    assert_eq!(
+        (counters["clients_accepted"], counters["clients_evicted"], counters["accepts_paused"]),
+        (151, 0, 0)
+    );
+}
+
+#[test]
+fn an_answer_without_end_is_cut_off_by_a_bound_that_follows_the_memory() {
+    let (program, executor, _names, mut client) = bed_with(|config| {
+        config["limits"] = json!({"cores": 1.0, "memory_mb": 16, "sockets": 1024});
+    });
+    let began = Instant::now();
+    client.serve(1, &fields("alert-send", &id(1), LONG), b"");
+    let mut line = executor.next();
+    let endless = format!("{{\"verb\":\"OK\",\"rid\":\"{}\",\"content\":\"{}", id(1), "A".repeat(100_000));
+    // The program may close while it is still being sent to.
+    let _ = line.connection.write_all(endless.as_bytes());
+    assert_eq!(client.receive(), Some((1, Reply::Failed)));
+    assert!(began.elapsed() < Duration::from_millis(LONG / 2), "{:?}", began.elapsed());
+    assert_eq!(program.counters()["executors_malformed"], 1);
+}
+
 #[test]
 fn clients_beyond_their_share_of_descriptors_push_out_idle_ones_and_all_are_served() {
     let (executor, names) = (Executor::start(), Names::start());
