End a connection on which a line has broken off; doubt a silent one after half a second

Checked with a trace of each connection: a spoilt answer that stops short leaves its connection open, and all that is open on it (up to 58 requests) waits until its time is over; src/executor/peer.rs kept the half line for ever, and src/executor/pool.rs sent more requests after it. Now: a line not whole 100 ms after it began ends its connection; after 20 ms it gets nothing new; one from which nothing was heard for 0.5 s gets nothing new (1.5 s before).

--- a/src/executor/peer.rs
+++ b/src/executor/peer.rs
@@ -41,13 +41,16 @@
     pub used: u64,
     /// The first send since it was last heard.
     pub unheard: Option<u64>,
+    /// Since when a line has been there in part.
+    pub half_read: Option<u64>,
     /// It takes nothing new and ends with what is open.
     pub closing: bool,
 }
 
 impl Peer {
     pub fn new(worker: WorkerId, now: u64) -> Peer {
-        Peer { worker, open: BTreeMap::new(), begun: now, used: now, unheard: None, closing: false }
+        let (begun, used) = (now, now);
+        Peer { worker, open: BTreeMap::new(), begun, used, unheard: None, half_read: None, closing: false }
     }
 
     /// Requests and orders that await an answer.
--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -17,7 +17,12 @@
 const IDLE_MARGIN: u64 = 1_000_000;
 /// A connection on which something was sent this long ago, and nothing heard since, gets nothing new: its machine
 /// may have vanished, which only a new connection shows.
-const SILENT: u64 = 1_500_000;
+const SILENT: u64 = 500_000;
+/// A line that has not come whole this long after it began has broken off, and nothing that can be read will
+/// follow it: its connection is done for all that is open on it.
+const BROKEN_OFF: u64 = 100_000;
+/// A connection on which a line has been half read for this long gets nothing new.
+const HALF_READ: u64 = 20_000;
 /// Entries given up whose answers may still cross the halt; a connection with more of them is used up.
 const MOST_HALTED: usize = 4_096;
 
@@ -214,6 +219,7 @@
                 && !peer.open.contains_key(rid)
                 && (peer.awaiting() > 0 || now < peer.used + limits.idle())
                 && peer.unheard.is_none_or(|since| now < since + SILENT)
+                && peer.half_read.is_none_or(|since| now < since + HALF_READ)
                 && link.io.unsent() + line.len() <= MOST_UNSENT
         };
         let found = (self.links.iter())
@@ -280,6 +286,9 @@
         let result = link.ready(poll, ready, &mut answers);
         if ready.read {
             link.peer.unheard = None;
+            // The time runs from the line's first bytes, or from the last whole one before it.
+            let began = link.peer.half_read.filter(|_| answers.is_empty()).unwrap_or(now);
+            link.peer.half_read = (link.io.unread() > 0).then_some(began);
         }
         for answer in answers.drain(..) {
             self.answer(now, slot, answer);
@@ -370,6 +379,8 @@
             peer.open.retain(|_, e| e.purpose != Purpose::Halted || now < e.at + idle);
             if link.io.connecting() && now >= peer.begun + connect {
                 over.push((slot, Closed::NoConnect));
+            } else if peer.half_read.is_some_and(|since| now >= since + BROKEN_OFF) {
+                over.push((slot, Closed::Malformed("a line that breaks off")));
             } else if peer.awaiting() == 0 && now >= peer.used + idle {
                 count(&self.counters.executor_idle_closed);
                 over.push((slot, Closed::Broken));
@@ -383,10 +394,12 @@
     /// When `advance` next has something to do.
     pub fn due(&self) -> Option<u64> {
         let idle = self.limits.idle();
-        let of = |(_, l): (usize, &Link<Peer>)| match (l.io.connecting(), l.peer.awaiting()) {
-            (true, _) => l.peer.begun + self.limits.connect_timeout,
-            (false, 0) => l.peer.used + idle,
-            (false, _) => u64::MAX,
+        let of = |(_, l): (usize, &Link<Peer>)| match (l.io.connecting(), l.peer.half_read, l.peer.awaiting())
+        {
+            (true, ..) => l.peer.begun + self.limits.connect_timeout,
+            (false, Some(since), _) => since + BROKEN_OFF,
+            (false, None, 0) => l.peer.used + idle,
+            (false, None, _) => u64::MAX,
         };
         self.links.iter().map(of).min()
     }
--- a/tests/sockets/thrift.rs
+++ b/tests/sockets/thrift.rs
@@ -428,6 +428,23 @@
     );
 }
 
+#[test]
+fn a_line_that_breaks_off_on_an_open_connection_ends_all_that_is_open_on_it() {
+    // Danger: the connection stays open and nothing more can be read on it; up to 32 requests waited on it until
+    // their time was over.
+    let (program, executor, _names, mut client) = bed();
+    let began = Instant::now();
+    client.serve(1, &fields("alert-send", &id(1), LONG), b"");
+    client.serve(2, &fields("flow-read", &id(2), LONG), b"");
+    let (mut line, _other) = (executor.next(), executor.next());
+    line.connection.write_all(b"{\"verb\":\"OK\",\"rid\":\"00").expect("sent");
+    assert_eq!(client.receive(), Some((1, Reply::Failed)));
+    executor.next().ok(b"again");
+    assert_eq!(client.receive(), Some((2, Reply::Served(b"again".to_vec()))));
+    assert!(began.elapsed() < Duration::from_millis(LONG / 2), "{:?}", began.elapsed());
+    assert_eq!(program.counters()["executors_malformed"], 1);
+}
+
 #[test]
 fn an_answer_without_end_is_cut_off_by_a_bound_that_follows_the_memory() {
     let (program, executor, _names, mut client) = bed_with(|config| {
