A worker that turns requests away draws little; pushback tells when the queue is short

At fault, src/control.rs: best (a request that was turned away went back to the worker that had just done so), closed (BUSY was no loss), decide (a resend of what never ran took as much of the budget as one that may have run; a refusal for a queue told clients to come back at once, pushback 0). Now: a request goes to any other worker first after BUSY, BUSY counts as a quarter of a lost answer, a resend of what never ran takes 0.3 of the budget, and the pushback is the time by which the queue is too long.

--- a/src/control.rs
+++ b/src/control.rs
@@ -1,5 +1,4 @@
 //! The decisions of a router; its interface (settings, events, actions) is src/api.rs.
-//!
 //! The design is smallest-EET: a request goes to the worker whose predicted finish (load time if its copy is
 //! not believed warm + own pending work there + learned run time) is smallest, and is refused at once when
 //! even that passes the time left. All else feeds that estimate, takes workers out of it, or keeps copies.
@@ -35,17 +34,18 @@
 const LOAD_PATIENCE: f64 = 4.0;
 /// Cold workers within this multiple of a load time are a tie, broken by a hash that all routers share.
 const COLD_TIE: f64 = 2.0;
-/// A second look at an attempt comes after this multiple of its expected time (the design's backup factor):
-/// work that is merely long looks alike sooner, and a second attempt at it wastes as much again.
+/// A second look comes after this multiple of the expected time (the design's backup factor), past long work.
 const SECOND_LOOK: f64 = 5.0;
 /// An attempt past this multiple of its expected time counts as lost.
 const SILENCE: f64 = 6.0;
-/// What a spoilt answer counts as, where a lost one counts as 1: the worker runs.
+/// What a spoilt answer, and being turned away, count as where a lost answer counts as 1: the worker runs.
 const SPOILT: f64 = 0.3;
+const TURNED_AWAY: f64 = 0.25;
+/// What a resend takes of the budget for them where the attempt before proved not to have run.
+const NEVER_RAN: f64 = 0.3;
 /// Resends after failures come to this share of the requests at most, and backups to that.
 const EXTRA_SHARE: f64 = 0.1;
 const BACKUP_SHARE: f64 = 0.05;
-/// Extra attempts of either kind that may be saved up.
 const EXTRA_MOST: f64 = 10.0;
 /// Share of the repeat window of a keyed class that is used: clocks and messages are late.
 const WINDOW_USED: f64 = 0.8;
@@ -187,6 +187,7 @@
     sent: Micros,
     open: bool,
     may_have_run: bool,
+    turned_away: bool,
     lost: bool,
 }
 
@@ -233,7 +234,7 @@
     }
 }
 
-/// One front end: its view of the workers, its requests, its decisions.
+/// One front end.
 pub struct Router {
     set: Settings,
     rng: Pcg32,
@@ -392,8 +393,7 @@
 
     // ---- Copies kept and loaded ahead ----
 
-    /// Danger: a copy that nobody has used for a while is unloaded, and the next request waits for a load. An
-    /// order to hold it costs little, within the ration of orders.
+    /// Danger: a copy unused for a while is unloaded, and the next request waits. Orders hold it.
     fn tend(&mut self, out: &mut Vec<Action>) {
         self.taken.push_back(self.now);
         if !self.set.orders
@@ -427,8 +427,7 @@
         }
     }
 
-    /// A place for a worker. Danger: workers replaced all day long would fill the memory; one that is gone,
-    /// and of which no request tells any more, gives up its place.
+    /// Danger: workers replaced all day long would fill the memory; one that is gone gives up its place.
     fn place(&mut self, entry: &Listing) -> usize {
         let told = |n| self.requests.values().any(|r| r.attempts.iter().any(|a| a.e.worker == n));
         // What was sent to one that is back soon still counts against its budget.
@@ -451,8 +450,7 @@
 
     fn function(&mut self, id: &FunctionId, class: usize, lanes: f64, load: Option<Micros>) -> usize {
         let index = self.function_ids.get(id).copied().unwrap_or_else(|| {
-            // Danger: functions that come and go, or that clients make up, would fill the memory. Beyond so
-            // many, the one unasked longest that no request names gives up its place.
+            // Danger: functions that clients make up would fill the memory. The oldest gives way.
             let free = Some(self.functions.len()).filter(|n| *n < MOST_FUNCTIONS).or_else(|| {
                 let named: BTreeSet<usize> = self.requests.values().map(|r| r.function).collect();
                 let over = (0..self.functions.len()).filter(|f| !named.contains(f));
@@ -518,8 +516,7 @@
         *class += LEARN_RUN * (f.run - *class);
     }
 
-    /// A load that this router began teaches the function's load time where that is not told, and the store's
-    /// factor. One far shorter than expected had begun before, or stood.
+    /// A load that this router began teaches the load time and the store's factor; a far shorter one is none.
     fn learn_load(&mut self, function: usize, took: f64) {
         let base = self.base_load(&self.functions[function]);
         if took < LOAD_LEAST * base {
@@ -574,8 +571,6 @@
             || request.attempts.iter().all(|a| !a.may_have_run)
     }
 
-    // ---- Cold workers ----
-
     /// The share of its full capacity that a worker has now, at the least.
     fn present_share(&self, w: &Worker) -> f64 {
         let Some(age) = w.ready_at.map(|r| self.now.saturating_sub(r)) else { return 1.0 };
@@ -583,9 +578,8 @@
         (least + (1.0 - least) * age as f64 / warm).min(1.0)
     }
 
-    /// Danger: all routers together push a fresh worker over. Its budget, as requests in order of time, goes
-    /// round the routers in turn; a turn not used lapses. Its capacity is taken for what its peers are seen
-    /// to serve, or for one core. Returns the turn to take; `None`: another's.
+    /// Danger: all routers together push a fresh worker over. Its budget goes round them in turn; a turn not
+    /// used lapses. Its capacity is what its peers serve, or one core's. The turn to take, if it is ours.
     fn turn(&self, w: &Worker, f: &Function) -> Option<u64> {
         let age = w.ready_at.map_or(f64::INFINITY, |r| self.now.saturating_sub(r) as f64);
         let warm = self.set.warm_after as f64;
@@ -645,12 +639,14 @@
         let slots = f.lanes * f64::from(copies.max(1));
         let lane_wait = run * ((held + 1.0 - slots) / slots).max(0.0);
         let total = self.set.tick as f64 + load + pending.max(lane_wait) + run;
+        // A worker that has just turned a request away does so again: any other comes first.
+        let turned_away = request.attempts.iter().any(|a| a.e.worker == worker && a.turned_away);
         let crossing = if w.zone == self.set.my_zone { 0.0 } else { HALL * self.set.cross_zone_price };
-        // Danger: fast failures make a worker look idle and would draw all traffic; a hang, a cut link, a
-        // dead process not yet listed, answers that get lost or one class unserved are silence. A loss costs
-        // the client's whole patience. What befalls all workers alike moves no choice, and no risk refuses.
+        // Danger: fast failures make a worker look idle and would draw all traffic; a hang or a cut link are
+        // silence. A loss costs the client's whole patience; no risk refuses.
         let risk = w.lost[request.class].mean(self.now, self.half, 0.0, DOUBT) * class.deadline as f64
-            + crossing * class.aim as f64;
+            + crossing * class.aim as f64
+            + if turned_away { class.deadline as f64 } else { 0.0 };
         // Only the usual time of a load is nobody's fault: what a slow store adds counts as a queue.
         let expected_load = load;
         let load = load.min(self.base_load(f));
@@ -682,7 +678,7 @@
         (rate, (busy / (f.lanes.min(2.0) * FILL)).max(1.0).ceil())
     }
 
-    /// The chance that others keep the function warm at the worker, if that is one of its first ranks.
+    /// The chance that others keep the function warm at the worker, one of its first ranks.
     fn kept_by_others(&self, f: &Function, worker: usize, (rate, homes): (f64, f64)) -> Option<f64> {
         let half = self.half;
         f.homes.iter().take(homes as usize).find(|h| **h == worker)?;
@@ -697,7 +693,6 @@
         if let Some((began, due)) = mark.loading {
             let patience = LOAD_PATIENCE * (due - began) as f64;
             if ((self.now - began) as f64) < patience {
-                // The later it is, the longer it still takes, but for one whole load at most.
                 let (left, so_far) = (due.saturating_sub(self.now), self.now - began);
                 return Warmth::Loading(left.max(so_far.min(due - began)) as f64);
             }
@@ -709,8 +704,7 @@
         Warmth::Cold
     }
 
-    /// The smallest estimate among the workers that may be sent to. Cold workers that are about equal are
-    /// told apart by a hash, alike for all routers, who then fetch once. Warm ties break at random.
+    /// The smallest estimate; cold ties are broken by a hash that all routers share, warm ones at random.
     fn best(&mut self, request: &Request, only_cold: bool) -> Option<Estimate> {
         let mut warm: Vec<Estimate> = Vec::new();
         let mut cold: Vec<Estimate> = Vec::new();
@@ -748,13 +742,11 @@
             choice = self.best(&request, true).filter(|e| e.beside_load() <= IDLE * aim).or(choice);
         }
         let refusable = self.may_refuse(&request);
-        let again = if request.attempts.is_empty() { 0.0 } else { 1.0 };
+        let again = request.attempts.last().map_or(0.0, |a| if a.may_have_run { 1.0 } else { NEVER_RAN });
         self.requests.insert(id, request);
         match choice {
-            // Danger: under overload all answers come late, which earns little and takes the place of answers
-            // in time. What queues alone make late is refused; a load is waited for, since its copy serves
-            // others. A worker with nothing of ours is tried even so: it may be idle, and only answers
-            // correct an estimate.
+            // Danger: under overload all answers come late. What queues alone make late is refused; a load is
+            // waited for. A worker with nothing of ours is tried even so: only answers correct an estimate.
             Some(e) if e.likely() <= left && (e.idle || e.beside_load() <= aim) && self.extra >= again => {
                 self.extra -= again;
                 self.send(id, e, out);
@@ -763,7 +755,8 @@
                 // Danger: an estimate that refuses everything is never corrected by an answer, but by this.
                 let f = &mut self.functions[function];
                 f.run -= LEARN_RUN * (f.run - PRIOR_RUN * whole_aim).max(0.0);
-                let over = choice.map_or(self.set.max_retry_after as f64, |e| (e.likely() - left).max(0.0));
+                let wait = |e: Estimate| (e.likely() - left).max(e.beside_load() - aim).max(0.0);
+                let over = choice.map_or(self.set.max_retry_after as f64, wait);
                 let retry_after = (over as Micros).min(self.set.max_retry_after);
                 self.end(id, Action::Refuse { id, retry_after }, out);
             }
@@ -787,7 +780,14 @@
                 ..*mark
             };
         }
-        request.attempts.push(Attempt { e, sent: self.now, open: true, may_have_run: true, lost: false });
+        request.attempts.push(Attempt {
+            e,
+            sent: self.now,
+            open: true,
+            may_have_run: true,
+            turned_away: false,
+            lost: false,
+        });
         (w.sent, w.turn) = (self.now, e.turn);
         let look = self.now.saturating_add((SECOND_LOOK * e.whole) as Micros);
         out.push(Action::Send { id, worker: w.id.clone(), until: None });
@@ -817,8 +817,7 @@
         if due < request.deadline {
             out.push(Action::Timer { at: due, cookie: id });
         }
-        // Danger: a hang, a loss or a stall, also of single answers while the worker serves others. Long work
-        // looks alike and overload makes all work long: only a budget goes into second attempts.
+        // Danger: a hang, a loss or a stall; long work looks alike: only a budget goes into second attempts.
         let last = request.attempts.last().filter(|a| a.open);
         let early = |a: &Attempt| {
             (self.now - a.sent) as f64 + 1.0 < SECOND_LOOK * a.e.whole
@@ -850,7 +849,6 @@
         }
     }
 
-    /// The one way for the router to end a request.
     fn end(&mut self, id: RequestId, action: Action, out: &mut Vec<Action>) {
         if let Some(request) = self.requests.get_mut(&id) {
             request.ended = true;
@@ -871,8 +869,6 @@
         }
     }
 
-    // ---- Outcomes ----
-
     fn closed(&mut self, event: &Event) {
         let Event::Outcome { id, attempt, outcome, found, crowd, latency, report, .. } = event else {
             return;
@@ -885,6 +881,7 @@
         let (now, at) = (self.now, attempt.e.worker);
         let lost = match outcome {
             Outcome::Ok | Outcome::Miss => Some(0.0),
+            Outcome::Full => Some(TURNED_AWAY),
             // Danger: requests that no worker can use end in errors everywhere, which must condemn none.
             Outcome::Error if !self.functions[function].served => None,
             // Danger: a connection that breaks ends all that is out on it; that is one event, not many.
@@ -897,6 +894,7 @@
             Outcome::Timeout if !attempt.lost && *latency as f64 > SILENCE * attempt.e.whole => Some(1.0),
             _ => None,
         };
+        attempt.turned_away = outcome == Outcome::Full;
         attempt.may_have_run =
             !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
         let e = attempt.e;
@@ -941,7 +939,6 @@
                 match found {
                     Found::BeganLoad => self.learn_load(function, (took - e.run).max(0.0)),
                     Found::Warm => self.learn_run(function, worker, took, e.warm),
-                    // Untold: only what came faster than expected can be trusted not to have loaded.
                     Found::Untold if !e.cold && took < e.warm => {
                         self.learn_run(function, worker, took, e.warm)
                     }
@@ -953,14 +950,12 @@
                 if found == Found::LoadFailed {
                     mark.loading = None;
                 } else if outcome == Outcome::Full {
-                    // Danger: a full worker answers at once and looks idle to a router that sees a part. Its
-                    // refusal counts as an answer that took twice the expected time.
+                    // Its refusal counts as an answer that took twice the expected time.
                     self.learn_slowness(worker, 1.0);
                 }
             }
             Outcome::Reset | Outcome::ConnectFailed | Outcome::Unknown => {
-                // Danger: connections break while the process lives on and keeps its copies. It is dead where
-                // no new one comes up either; a restart is also told by the list.
+                // Danger: connections break while the process lives on. It is dead where no new one comes up.
                 if outcome == Outcome::ConnectFailed && w.broke > w.heard_any && w.broke < now {
                     w.forget_copies();
                 }
@@ -993,7 +988,6 @@
     set
 }
 
-/// A rank of the worker for the function that every router finds alike.
 fn rendezvous(function: &FunctionId, worker: &WorkerId) -> u64 {
     let mut hasher = SipHasher13::new();
     function.as_bytes().hash(&mut hasher);
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -412,6 +412,48 @@
     assert_eq!(bed.warm(0, "kept"), kept);
 }
 
+#[test]
+fn a_worker_that_turns_away_draws_little_and_its_refusals_use_up_no_budget() {
+    let mut bed = Bed::new(settings(), 1, 2);
+    let full = bed.warm(0, "f");
+    bed.serve(0, "f", 10);
+    let mut turned_away = 0;
+    for n in 0..60 {
+        let id = bed.ask(0, "f", 4 * S);
+        bed.now += 5 * MS;
+        let mut attempt = 0;
+        if bed.sent().expect("sent") == full {
+            turned_away += 1;
+            bed.close(id, attempt, Outcome::Full, Found::Untold, 5 * MS);
+            attempt += 1;
+        }
+        assert!(bed.sent().is_some_and(|w| w != full) || attempt == 0, "request {n}: {:?}", bed.out);
+        bed.now += 95 * MS;
+        bed.close(id, attempt, Outcome::Ok, Found::Warm, 95 * MS);
+    }
+    assert!(turned_away < 20, "{turned_away} of 60 went to a worker that turns all away");
+    // Misses prove that nothing ran: twenty in a row are all sent again.
+    let mut bed = Bed::new(settings(), 1, 3);
+    for n in 0..20 {
+        let id = bed.ask(0, &format!("f{n}"), 4 * S);
+        bed.close(id, 0, Outcome::Miss, Found::Untold, 5 * MS);
+        assert!(bed.sent().is_some(), "request {n}: {:?}", bed.out);
+        bed.close(id, 1, Outcome::Ok, Found::Warm, 100 * MS);
+    }
+}
+
+#[test]
+fn a_refusal_for_a_queue_tells_when_it_will_be_short() {
+    let mut bed = Bed::new(settings(), 1, 1);
+    bed.warm(0, "f");
+    bed.serve(0, "f", 10);
+    while !bed.refused() {
+        bed.ask(0, "f", 4 * S);
+    }
+    let told = |a: &Action| matches!(a, Action::Refuse { retry_after, .. } if *retry_after > 0);
+    assert!(bed.out.iter().any(told), "{:?}", bed.out);
+}
+
 #[test]
 fn all_routers_together_keep_a_fresh_worker_within_its_budget_and_use_it() {
     for balancers in [1, 2, 40, 200] {
