Command line on clap, logs on tracing, a workspace; check names every fault, schema prints the forms

Cause: the ground for streamed configuration. A file with three faults needed three runs of check to mend; logs were lines without fields; the event loop could not be used by a second program. The command line is on clap (help with examples, completions, exit codes 0, 1, 2); logs on tracing, written by a thread that drops what standard error does not take, rationed by kind and counted (log_events_dropped). Readers note each fault and go on, and the same readers, run over nothing, write the JSON Schemas down, so that no bound is written twice (schemars was weighed: it would state each bound a second time, beside the reader).

--- a/src/net/mod.rs
+++ b/crates/net/src/lib.rs
@@ -1,4 +1,8 @@
-//! The event loop, its clock, and what hangs on it: connections, their rings, listeners.
+//! The event loop, its clock, and what hangs on it: connections, their rings, listeners, signals.
+//!
+//! One thread, one epoll instance; nothing here knows a protocol. Times are whole microseconds on [`Clock`].
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 mod clock;
 mod link;
--- a/src/agent/instance.rs
+++ b/src/agent/instance.rs
@@ -6,9 +6,9 @@
 use crate::front::thrift;
 use crate::net::{Closed, Link, Poll, Ready};
 use rustix::process::{Pid, Signal, kill_process};
-use std::io::Write;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use tracing::warn;
 
 /// The first wait before an instance that ended is started again; it doubles up to the last.
 const BACKOFF_FIRST: u64 = 100_000;
@@ -132,7 +132,7 @@
                 self.child = Some(child);
             }
             Err(e) => {
-                let _ = writeln!(std::io::stderr(), "agent: {} can't be started: {e}", self.told.name);
+                warn!(instance = self.told.name, reason = %e, "an instance can't be started");
                 self.wait(now);
             }
         }
@@ -186,8 +186,7 @@
             self.kill_at = Some(now + agent.stop_timeout);
         }
         if self.kill_at.is_some_and(|at| now >= at) {
-            let _ =
-                writeln!(std::io::stderr(), "agent: {} did not end in time and is killed", self.told.name);
+            warn!(instance = self.told.name, "an instance did not end in time and is killed");
             self.signal(Signal::KILL);
             self.kill_at = Some(u64::MAX);
         }
--- /dev/null
+++ b/src/cli/agent.rs
@@ -0,0 +1,40 @@
+//! The agent's words: `agent` starts it, the others speak to one that runs.
+
+use super::{Error, io_error, load};
+use crate::agent::Supervisor;
+use crate::counters::say;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// The longest that the command line waits for the agent.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+pub fn serve(file: PathBuf) -> Result<(), Error> {
+    let operator = load(&file)?;
+    let mut supervisor = Supervisor::new(operator, file).map_err(io_error("the agent can't start"))?;
+    let address = supervisor.address().map_or_else(String::new, |a| a.to_string());
+    say(format_args!("ochreward agent answers on {address}"));
+    supervisor.run().map_err(io_error("the agent's loop ended"))
+}
+
+pub fn order(verb: &str, name: Option<&str>, agent: SocketAddr) -> Result<(), Error> {
+    let method = if verb == "status" || verb == "health" { "GET" } else { "POST" };
+    let path = name.map_or_else(|| format!("/{verb}"), |name| format!("/{verb}/{name}"));
+    let (status, body) = ask(agent, method, &path).map_err(io_error(format!("the agent at {agent}")))?;
+    say(body.trim_end());
+    if status == 200 { Ok(()) } else { Err(Error::Agent(status)) }
+}
+
+fn ask(agent: SocketAddr, method: &str, path: &str) -> std::io::Result<(u16, String)> {
+    let mut stream = TcpStream::connect_timeout(&agent, PATIENCE)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    write!(stream, "{method} {path} HTTP/1.1\r\nHost: {agent}\r\nConnection: close\r\n\r\n")?;
+    let mut text = String::new();
+    stream.take(1 << 20).read_to_string(&mut text)?;
+    let bad = || std::io::Error::other("not an HTTP answer");
+    let (head, body) = text.split_once("\r\n\r\n").ok_or_else(bad)?;
+    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok()).ok_or_else(bad)?;
+    Ok((status, body.to_string()))
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,258 @@
+//! The command line. Exit codes: 0 yes or done, 1 no or failed, 2 words that make no command.
+
+mod agent;
+mod check;
+
+use crate::config::{self, Config, Operator};
+use crate::counters::say;
+use crate::logs::{self, Format};
+use crate::node::Node;
+use clap::{Args, CommandFactory, Parser, Subcommand};
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// A dispatcher that sends each request to the worker expected to finish it first, and the tools around it.
+#[derive(Parser)]
+#[command(
+    name = "ochreward",
+    version,
+    args_conflicts_with_subcommands = true,
+    after_help = "\
+Examples:
+  ochreward                                     one dispatcher, told by the environment
+  ochreward run --operator operator.toml        the same, with MQTT triggers or streamed configuration
+  ochreward agent --operator operator.toml      many dispatchers, and what balancers ask of them
+  ochreward check --config n0.json              names every faulty key of a file
+
+Environment of a dispatcher: ROUTER_NAME, ROUTER_LISTEN, ROUTER_CONFIG; ROUTER_OPS, ROUTER_INHERITED_FD, TMPDIR.
+SIGUSR1 prints its counters, SIGHUP has it read its configuration again, SIGTERM settles everything and ends it.
+Exit codes: 0 yes or done, 1 no or failed, 2 words that make no command."
+)]
+struct Words {
+    #[command(flatten)]
+    run: Run,
+    #[command(flatten)]
+    logs: Logs,
+    #[command(subcommand)]
+    verb: Option<Verb>,
+}
+
+#[derive(Args)]
+struct Logs {
+    /// How events are written to standard error
+    #[arg(long, global = true, value_enum, default_value_t = Format::Text, value_name = "FORMAT")]
+    log_format: Format,
+    /// What is written: a level, or a filter such as `warn,ochreward::node=debug`
+    #[arg(long, global = true, env = "OCHREWARD_LOG", default_value = "info", value_name = "FILTER")]
+    log_level: String,
+}
+
+#[derive(Args)]
+struct Run {
+    /// The operator's file: MQTT brokers, and the control service that configuration comes from
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+    /// End when the process that started this one ends
+    #[arg(long, hide = true)]
+    with_parent: bool,
+}
+
+#[derive(Args)]
+struct At {
+    /// Where the agent answers
+    #[arg(long, value_name = "ADDRESS", default_value = "127.0.0.1:8700")]
+    agent: SocketAddr,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// One dispatcher, told by ROUTER_NAME, ROUTER_LISTEN and ROUTER_CONFIG
+    Run(Run),
+    /// Keeps the file's instances running and answers balancers
+    Agent {
+        /// The operator's file
+        #[arg(long, value_name = "FILE")]
+        operator: PathBuf,
+    },
+    /// Reads configuration and names every faulty key
+    #[command(
+        after_help = "Without a file it reads what the environment names.\nExample: ochreward check --config n0.json --operator operator.toml"
+    )]
+    Check {
+        /// A dispatcher's configuration, in the platform's JSON
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+        /// An operator's file
+        #[arg(long, value_name = "FILE")]
+        operator: Option<PathBuf>,
+    },
+    /// Prints the JSON Schema of a kind of file
+    #[command(after_help = "Example: ochreward schema operator > operator.schema.json")]
+    Schema {
+        /// The kind of file
+        #[arg(value_enum)]
+        kind: check::Kind,
+    },
+    /// The agent's instances, a line each
+    Status {
+        /// Nothing but this one
+        name: Option<String>,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Ready, drain or down; ends with 0 if ready
+    Health {
+        /// The instance; without it, whether any is ready
+        name: Option<String>,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Has balancers send an instance nothing new
+    Drain(Named),
+    /// Has balancers use an instance again
+    Ready(Named),
+    /// Drains an instance, ends it and starts it again
+    Restart(Named),
+    /// Drains an instance and ends it
+    Stop(Named),
+    /// Prints the shell's completions
+    #[command(after_help = "Example: ochreward completions bash > /etc/bash_completion.d/ochreward")]
+    Completions {
+        /// The shell
+        #[arg(value_enum)]
+        shell: clap_complete::Shell,
+    },
+}
+
+#[derive(Args)]
+struct Named {
+    /// The instance
+    name: String,
+    #[command(flatten)]
+    at: At,
+}
+
+/// Why a command came to nothing.
+#[derive(Debug)]
+pub enum Error {
+    /// The configuration has faults.
+    Config(config::Faults),
+    /// Something else went wrong: what, and how.
+    Io(String, io::Error),
+    /// The agent would not.
+    Agent(u16),
+    /// The log filter has a fault.
+    Filter(String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Config(faults) => faults.fmt(f),
+            Error::Io(what, e) => write!(f, "{what}: {e}"),
+            Error::Agent(status) => write!(f, "the agent answered {status}"),
+            Error::Filter(why) => write!(f, "--log-level: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<config::Faults> for Error {
+    fn from(faults: config::Faults) -> Error {
+        Error::Config(faults)
+    }
+}
+
+fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> Error {
+    |e| Error::Io(what.into(), e)
+}
+
+/// Does what the words ask for. The error is for standard error; words that make no command end the process with 2.
+pub fn main() -> Result<(), Error> {
+    let words = Words::parse();
+    let _flushed_at_the_end =
+        logs::start(words.logs.log_format, &words.logs.log_level).map_err(Error::Filter)?;
+    match words.verb.unwrap_or(Verb::Run(words.run)) {
+        Verb::Run(asked) => run(&asked),
+        Verb::Agent { operator } => agent::serve(operator),
+        Verb::Check { config, operator } => check::check(config.as_deref(), operator.as_deref()),
+        Verb::Schema { kind } => {
+            check::schema(kind);
+            Ok(())
+        }
+        Verb::Status { name, at } => agent::order("status", name.as_deref(), at.agent),
+        Verb::Health { name, at } => agent::order("health", name.as_deref(), at.agent),
+        Verb::Drain(named) => agent::order("drain", Some(&named.name), named.at.agent),
+        Verb::Ready(named) => agent::order("ready", Some(&named.name), named.at.agent),
+        Verb::Restart(named) => agent::order("restart", Some(&named.name), named.at.agent),
+        Verb::Stop(named) => agent::order("stop", Some(&named.name), named.at.agent),
+        Verb::Completions { shell } => {
+            clap_complete::generate(shell, &mut Words::command(), "ochreward", &mut io::stdout());
+            Ok(())
+        }
+    }
+}
+
+fn load(path: &Path) -> Result<Operator, Error> {
+    Ok(Operator::load(path)?)
+}
+
+fn run(asked: &Run) -> Result<(), Error> {
+    if asked.with_parent {
+        // An agent that is killed takes its instances along: the next one could not listen where they do.
+        let signal = Some(rustix::process::Signal::TERM);
+        rustix::process::set_parent_process_death_signal(signal)
+            .map_err(|e| Error::Io("can't start".to_string(), e.into()))?;
+    }
+    let operator = asked.operator.as_deref().map(load).transpose()?.unwrap_or_default();
+    let stream = operator.control.as_ref().and_then(|c| c.stream.clone());
+    let config = Config::from_environment(stream.is_some())?;
+    let (name, brokers) = (config.name.clone(), operator.brokers_of(&config.name));
+    let mut node = Node::new(config, brokers).map_err(io_error("can't start"))?;
+    let address = node.address().map_or_else(String::new, |a| a.to_string());
+    if let Some(door) = node.door() {
+        say(format_args!("ochreward {name} answers operators on {door}"));
+    }
+    say(format_args!("ochreward {name} serves on {address}"));
+    node.run().map_err(io_error("the loop ended"))?;
+    say(node.counters());
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_words_fit_together_and_old_ones_go_on_working() {
+        Words::command().debug_assert();
+        let good = [
+            "",
+            "run",
+            "--operator f",
+            "run --operator f --with-parent",
+            "agent --operator f",
+            "check",
+            "check --config a --operator b",
+            "status --agent 127.0.0.1:9",
+            "health n0 --agent 127.0.0.1:9",
+            "health",
+            "drain n0",
+            "ready n0",
+            "restart n0",
+            "stop n0 --log-format json",
+        ];
+        for words in good {
+            let words: Vec<&str> = ["ochreward"].into_iter().chain(words.split_whitespace()).collect();
+            assert!(Words::try_parse_from(&words).is_ok(), "{words:?}");
+        }
+        for words in ["drain", "agent", "status a b", "jump", "health --agent here", "check --config"] {
+            let words: Vec<&str> = ["ochreward"].into_iter().chain(words.split_whitespace()).collect();
+            let error = Words::try_parse_from(&words).err().map(|e| e.exit_code());
+            assert_eq!(error, Some(2), "{words:?}");
+        }
+    }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,9 +1,13 @@
 //! The one place where configuration is read, checked and given defaults. Messages name the faulty key.
 
+mod control;
 mod keys;
 mod operator;
+mod schema;
 mod settings;
+pub mod version;
 
-pub use keys::Error;
+pub use control::{Control, Rollout, Service, Stream};
+pub use keys::{Error, Faults, Key};
 pub use operator::{Agent, Instance, Operator};
-pub use settings::{Config, Resources, SERVICE, Settings};
+pub use settings::{Config, DRAIN_GRACE, Parts, Resources, SERVICE, Settings};
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -1,6 +1,7 @@
 //! The operator's file: MQTT brokers and the agent. Without it both are off.
 
-use super::keys::{Error, Key};
+use super::control::{self, Control};
+use super::keys::{Faults, Key};
 use crate::front::mqtt::Options;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -45,25 +46,39 @@
     pub brokers: Vec<Options>,
     /// What the agent is told.
     pub agent: Option<Agent>,
+    /// The control service that configuration comes from, or that this process is.
+    pub control: Option<Control>,
 }
 
 impl Operator {
     /// Reads the file.
-    pub fn load(path: &Path) -> Result<Operator, Error> {
-        let fault = |why: String| Error { key: path.display().to_string(), why };
+    pub fn load(path: &Path) -> Result<Operator, Faults> {
+        let fault = |why: String| Faults::one(path.display().to_string(), why);
         let text = std::fs::read_to_string(path).map_err(|e| fault(e.to_string()))?;
         Operator::read(&text)
     }
 
     /// Reads the text of such a file.
-    pub fn read(text: &str) -> Result<Operator, Error> {
-        let value: Value = toml::from_str(text)
-            .map_err(|e| Error { key: "(the whole file)".to_string(), why: format!("is not TOML: {e}") })?;
+    pub fn read(text: &str) -> Result<Operator, Faults> {
+        let value: Value =
+            toml::from_str(text).map_err(|e| Faults::one("(the whole file)", format!("is not TOML: {e}")))?;
         let top = Key::top(&value);
-        top.only(&["mqtt", "agent"])?;
-        let brokers = top.get("mqtt").entries()?.iter().map(broker).collect::<Result<_, _>>()?;
-        let agent = top.get("agent");
-        Ok(Operator { brokers, agent: if agent.given() { Some(read_agent(&agent)?) } else { None } })
+        let operator = Operator::of(&top);
+        top.finish(operator)
+    }
+
+    /// The JSON Schema of the file, written down from what is read.
+    pub fn schema() -> Value {
+        Key::describe(|top| drop(Operator::of(top))).schema("An operator's file")
+    }
+
+    fn of(top: &Key) -> Operator {
+        top.only(&["mqtt", "agent", "control"]);
+        Operator {
+            brokers: brokers(&top.get("mqtt")),
+            agent: top.get("agent").optional(read_agent),
+            control: top.get("control").optional(control::read),
+        }
     }
 
     /// The brokers of the instance with this name.
@@ -77,7 +92,12 @@
     }
 }
 
-fn broker(key: &Key) -> Result<Options, Error> {
+/// Reads a list of brokers, as the operator's file and a version's `fronts` have it.
+pub(super) fn brokers(key: &Key) -> Vec<Options> {
+    key.entries().iter().map(broker).collect()
+}
+
+fn broker(key: &Key) -> Options {
     key.only(&[
         "broker",
         "client_id",
@@ -89,62 +109,51 @@
         "record_expiry_s",
         "user",
         "password",
-    ])?;
+    ]);
     let (user, triggers) = (key.get("user"), key.get("triggers"));
-    let filter = triggers.text_or("ochreward/{name}/triggers/#")?;
-    if filter.is_empty() {
-        return Err(triggers.error("a topic filter is wanted"));
-    }
-    Ok(Options {
-        broker: key.get("broker").address()?,
-        client_id: key.get("client_id").text_or("ochreward-{name}")?,
+    let filter = triggers.text_or("ochreward/{name}/triggers/#");
+    triggers.must(!filter.is_empty(), "a topic filter is wanted");
+    Options {
+        broker: key.get("broker").address(),
+        client_id: key.get("client_id").text_or("ochreward-{name}"),
         triggers: filter,
-        receive_maximum: key.get("receive_maximum").between(1, 1024, 64)? as u16,
-        maximum_packet: key.get("maximum_packet").between(1024, 1 << 20, 64 << 10)? as usize,
-        keep_alive: key.get("keep_alive_s").between(1, 65_535, 30)? as u16,
-        session_expiry: key.get("session_expiry_s").between(1, u64::from(u32::MAX), 3_600)? as u32,
-        record_expiry: key.get("record_expiry_s").between(1, u64::from(u32::MAX), 86_400)? as u32,
-        login: if user.given() {
-            Some((user.text()?.to_string(), key.get("password").text_or("")?))
-        } else {
-            None
-        },
-    })
+        receive_maximum: key.get("receive_maximum").between(1, 1024, 64) as u16,
+        maximum_packet: key.get("maximum_packet").between(1024, 1 << 20, 64 << 10) as usize,
+        keep_alive: key.get("keep_alive_s").between(1, 65_535, 30) as u16,
+        session_expiry: key.get("session_expiry_s").between(1, u64::from(u32::MAX), 3_600) as u32,
+        record_expiry: key.get("record_expiry_s").between(1, u64::from(u32::MAX), 86_400) as u32,
+        login: user.optional(|user| (user.text().to_string(), key.get("password").text_or(""))),
+    }
 }
 
-fn read_agent(key: &Key) -> Result<Agent, Error> {
-    key.only(&["listen", "check_every_ms", "check_timeout_ms", "drain_ms", "stop_timeout_ms", "instance"])?;
-    let instances = key.get("instance").entries()?.iter().map(instance).collect::<Result<Vec<_>, _>>()?;
+fn read_agent(key: &Key) -> Agent {
+    key.only(&["listen", "check_every_ms", "check_timeout_ms", "drain_ms", "stop_timeout_ms", "instance"]);
+    let instances: Vec<Instance> = key.get("instance").entries().iter().map(instance).collect();
     for (i, instance) in instances.iter().enumerate() {
-        if instances[..i].iter().any(|other| other.name == instance.name) {
-            return Err(key
-                .get(&format!("instance[{i}]"))
-                .get("name")
-                .error("another instance has this name"));
-        }
+        let other = instances[..i].iter().any(|other| other.name == instance.name);
+        key.get(&format!("instance[{i}]")).get("name").must(!other, "another instance has this name");
     }
-    Ok(Agent {
-        listen: key.get("listen").address()?,
-        check_every: key.get("check_every_ms").between(10, 600_000, 500)? * 1000,
-        check_timeout: key.get("check_timeout_ms").between(10, 600_000, 2_000)? * 1000,
-        drain: key.get("drain_ms").between(0, 600_000, 2_000)? * 1000,
-        stop_timeout: key.get("stop_timeout_ms").between(1_000, 600_000, 10_000)? * 1000,
+    Agent {
+        listen: key.get("listen").address(),
+        check_every: key.get("check_every_ms").between(10, 600_000, 500) * 1000,
+        check_timeout: key.get("check_timeout_ms").between(10, 600_000, 2_000) * 1000,
+        drain: key.get("drain_ms").between(0, 600_000, 2_000) * 1000,
+        stop_timeout: key.get("stop_timeout_ms").between(1_000, 600_000, 10_000) * 1000,
         instances,
-    })
+    }
 }
 
-fn instance(key: &Key) -> Result<Instance, Error> {
-    key.only(&["name", "listen", "config", "check", "mqtt"])?;
+fn instance(key: &Key) -> Instance {
+    key.only(&["name", "listen", "config", "check", "mqtt"]);
     let (name, check) = (key.get("name"), key.get("check"));
-    let text = name.text()?;
-    if text.is_empty() || !text.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_') {
-        return Err(name.error("letters, digits, - and _ are wanted"));
-    }
-    Ok(Instance {
+    let text = name.text();
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b == b'-' || b == b'_';
+    name.must(!text.is_empty() && text.bytes().all(plain), "letters, digits, - and _ are wanted");
+    Instance {
         name: text.to_string(),
-        listen: key.get("listen").address()?,
-        config: key.get("config").text()?.into(),
-        check: if check.given() { Some(check.address()?) } else { None },
-        mqtt: key.get("mqtt").flag_or(false)?,
-    })
+        listen: key.get("listen").address(),
+        config: key.get("config").text().into(),
+        check: check.optional(Key::address),
+        mqtt: key.get("mqtt").flag_or(false),
+    }
 }
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -1,6 +1,6 @@
 //! What the platform tells a dispatcher: `ROUTER_NAME`, `ROUTER_LISTEN` and the file named by `ROUTER_CONFIG`.
 
-use super::keys::{Error, Key};
+use super::keys::{Faults, Key};
 use crate::api::{self, Class, Effect, KeyScope, ReportField, WorkerId};
 use crate::names::{Executor, State, Vocabulary};
 use serde_json::Value;
@@ -11,6 +11,9 @@
 /// The name under which the whole list is asked for.
 pub const SERVICE: &str = "_back._tcp.pool.lan";
 
+/// Nothing new goes to an executor later than this after it was told to drain, in microseconds.
+pub const DRAIN_GRACE: u64 = 250_000;
+
 /// Names of classes remembered after they were taken out.
 const MOST_PAST: usize = 256;
 
@@ -54,6 +57,8 @@
     pub tells_warm: bool,
     /// Answers tell how many requests were held.
     pub tells_crowd: bool,
+    /// The time within which nothing more may go to an executor that drains, in microseconds.
+    pub drain_grace: u64,
 }
 
 /// Everything that a dispatcher is told at its start.
@@ -71,18 +76,27 @@
     pub folder: Option<PathBuf>,
     /// For random numbers.
     pub seed: u64,
-    /// What it may use.
-    pub resources: Resources,
     /// The name service.
     pub names: SocketAddr,
     /// The list of executors at the start, and the number of the last event in it.
     pub known: (u64, Vec<Executor>),
-    /// The settings.
-    pub settings: Settings,
+    /// What a control service may change as well.
+    pub parts: Parts,
+    /// The file has no settings: they come from a control service, and nothing is served before.
+    pub bare: bool,
     /// The file as it was written, but for the list.
     told: Value,
 }
 
+/// What the file says and a streamed version may change.
+#[derive(Clone, Debug)]
+pub struct Parts {
+    /// What it may use.
+    pub resources: Resources,
+    /// The settings.
+    pub settings: Settings,
+}
+
 impl Settings {
     /// Puts the classes in the places that they had, since requests under way and what was learned name them by
     /// those. A class that is gone keeps its place while it is `used`; returns the places that mean another class
@@ -93,7 +107,7 @@
         let (mut places, mut rules) = (names.to_vec(), classes.to_vec());
         let mut retired = vec![true; places.len()];
         let mut fresh = Vec::new();
-        for (name, class) in self.classes.iter().zip(&self.module.classes) {
+        for ((name, class), out) in self.classes.iter().zip(&self.module.classes).zip(&self.retired) {
             let free = |p: &usize| retired[*p] && !used.contains(p) && !self.classes.contains(&places[*p]);
             let place = places.iter().position(|n| n == name).or_else(|| {
                 fresh.push((0..places.len()).find(free).unwrap_or(places.len()));
@@ -106,7 +120,7 @@
                 retired.push(true);
             }
             places[place].clone_from(name);
-            (rules[place], retired[place]) = (*class, false);
+            (rules[place], retired[place]) = (*class, *out);
         }
         (self.classes, self.module.classes, self.retired) = (places, rules, retired);
         fresh
@@ -120,15 +134,15 @@
 }
 
 impl Config {
-    /// Reads the environment and the file that it names.
-    pub fn from_environment() -> Result<Config, Error> {
+    /// Reads the environment and the file that it names; `streamed`: that file may leave the settings out.
+    pub fn from_environment(streamed: bool) -> Result<Config, Faults> {
         let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
-        let fault = |key: &str, why: String| Error { key: key.to_string(), why };
+        let fault = |key: &str, why: String| Faults::one(key, why);
         let path = var("ROUTER_CONFIG")
             .ok_or_else(|| fault("ROUTER_CONFIG", "the environment must name the file".to_string()))?;
         let text =
             std::fs::read_to_string(&path).map_err(|e| fault("ROUTER_CONFIG", format!("{path}: {e}")))?;
-        let mut config = Config::read(&text)?;
+        let mut config = Config::parse(&text, streamed)?;
         // The folder is the process's own or that of its instance; a name in it tells instances apart.
         let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
         let folder = |name: &str| format!("ochreward-{}", name.chars().map(plain).collect::<String>());
@@ -155,55 +169,103 @@
     }
 
     /// Reads the text of a configuration file.
-    pub fn read(text: &str) -> Result<Config, Error> {
+    pub fn read(text: &str) -> Result<Config, Faults> {
+        Config::parse(text, false)
+    }
+
+    /// Reads the text of a configuration file which may leave the settings to a control service.
+    pub fn read_streamed(text: &str) -> Result<Config, Faults> {
+        Config::parse(text, true)
+    }
+
+    fn parse(text: &str, streamed: bool) -> Result<Config, Faults> {
         let value: Value = serde_json::from_str(text)
-            .map_err(|e| Error { key: "(the whole file)".to_string(), why: format!("is not JSON: {e}") })?;
+            .map_err(|e| Faults::one("(the whole file)", format!("is not JSON: {e}")))?;
         let top = Key::top(&value);
-        let limits = top.get("limits");
+        let mut config = Config::of(&top, streamed);
+        config.told = value.clone();
+        // Its entries change by themselves; only that it is there counts.
+        config.told.get_mut("known").into_iter().for_each(|known| *known = Value::Bool(true));
+        top.finish(config)
+    }
+
+    /// The JSON Schema of the file, written down from what is read.
+    pub fn schema() -> Value {
+        Key::describe(|top| drop(Config::of(top, false)))
+            .schema("A dispatcher's configuration (ROUTER_CONFIG)")
+    }
+
+    fn of(top: &Key, streamed: bool) -> Config {
         let seed = top.get("seed");
-        let settings = settings(&top.get("settings"))?;
-        Ok(Config {
-            name: top.get("name").text_or("dispatcher")?,
-            listen: top.get("listen").address()?,
+        let number = u64::from_str_radix(&seed.text_or("0"), 16);
+        seed.must(number.is_ok(), "hex digits, 16 at most, are wanted");
+        let bare = streamed && !top.get("settings").given();
+        Config {
+            name: top.get("name").text_or("dispatcher"),
+            listen: top.get("listen").address(),
             inherited: None,
-            ops: if top.get("ops").given() { Some(top.get("ops").address()?) } else { None },
+            ops: top.get("ops").optional(Key::address),
             folder: None,
-            seed: u64::from_str_radix(&seed.text_or("0")?, 16)
-                .map_err(|_| seed.error("hex digits, 16 at most, are wanted"))?,
-            resources: Resources {
-                memory: limits.get("memory_mb").between(16, 1 << 20, 192)? as usize * (1 << 20),
-                sockets: limits.get("sockets").between(32, 1 << 20, 1024)? as usize,
-            },
-            names: top.get("names").address()?,
-            known: known(&top.get("known"))?,
-            settings,
-            told: {
-                let mut told = value.clone();
-                // Its entries change by themselves; only that it is there counts.
-                told.get_mut("known").into_iter().for_each(|known| *known = Value::Bool(true));
-                told
-            },
-        })
+            seed: number.unwrap_or_default(),
+            names: top.get("names").address(),
+            known: known(&top.get("known")),
+            parts: if bare { Parts::none(&top.get("limits")) } else { Parts::of(top) },
+            bare,
+            told: Value::Null,
+        }
     }
 
     /// Checks that a file that is to replace the one of `old` leaves nothing out.
-    pub fn replaces(&self, old: &Config) -> Result<(), Error> {
-        Key::top(&self.told).keeps(&old.told)
+    pub fn replaces(&self, old: &Config) -> Result<(), Faults> {
+        let top = Key::top(&self.told);
+        top.keeps(&old.told);
+        top.finish(())
+    }
+
+    /// The file as it was written, but for the list.
+    pub fn told(&self) -> &Value {
+        &self.told
+    }
+}
+
+impl Parts {
+    /// Reads what a version may change out of a whole configuration.
+    pub fn read(value: &Value) -> Result<Parts, Faults> {
+        let top = Key::top(value);
+        let parts = Parts::of(&top);
+        top.finish(parts)
+    }
+
+    pub(super) fn of(top: &Key) -> Parts {
+        Parts { resources: resources(&top.get("limits")), settings: settings(&top.get("settings")) }
+    }
+
+    /// Limits, and no settings yet.
+    fn none(limits: &Key) -> Parts {
+        let empty = serde_json::json!({"lanes": []});
+        Parts { resources: resources(limits), settings: settings(&Key::top(&empty)) }
+    }
+}
+
+fn resources(limits: &Key) -> Resources {
+    Resources {
+        memory: limits.get("memory_mb").between(16, 1 << 20, 192) as usize * (1 << 20),
+        sockets: limits.get("sockets").between(32, 1 << 20, 1024) as usize,
     }
 }
 
 /// Events of the start, in order: the first holds the whole list, later ones what has changed.
-fn known(key: &Key) -> Result<(u64, Vec<Executor>), Error> {
+fn known(key: &Key) -> (u64, Vec<Executor>) {
     let mut list = BTreeMap::<WorkerId, Executor>::new();
-    for event in key.get("batch").entries()? {
+    for event in key.get("batch").entries() {
         let topology = event.get("topology");
-        if topology.get("reset").flag_or(false)? {
+        if topology.get("reset").flag_or(false) {
             list.clear();
         }
-        for entry in topology.get("instances").entries()? {
-            let id: WorkerId = entry.get("instanceId").text()?.into();
+        for entry in topology.get("instances").entries() {
+            let id: WorkerId = entry.get("instanceId").text().into();
             let states = ["in_service", "terminating", "terminated"];
-            let state = match entry.get("lifecycle").word(&states)? {
+            let state = match entry.get("lifecycle").word(&states) {
                 0 => State::Ready,
                 1 => State::Draining,
                 _ => {
@@ -213,93 +275,91 @@
             };
             let executor = Executor {
                 id: id.clone(),
-                address: entry.get("hostPort").address()?,
-                zone: entry.get("zone").text_or("")?,
-                kind: entry.get("machineType").text_or("")?,
-                cell: entry.get("cell").whole_or(0)? as usize,
+                address: entry.get("hostPort").address(),
+                zone: entry.get("zone").text_or(""),
+                kind: entry.get("machineType").text_or(""),
+                cell: entry.get("cell").whole_or(0) as usize,
                 state,
-                started_ms: entry.get("startedAtMs").whole_or(0)?,
+                started_ms: entry.get("startedAtMs").whole_or(0),
             };
             list.insert(id, executor);
         }
     }
-    Ok((key.get("offset").whole_or(0)?, list.into_values().collect()))
+    (key.get("offset").whole_or(0), list.into_values().collect())
 }
 
-fn names(key: &Key) -> Result<Vec<String>, Error> {
-    key.entries()?.iter().map(|k| k.text().map(str::to_string)).collect()
+fn names(key: &Key) -> Vec<String> {
+    key.entries().iter().map(|k| k.text().to_string()).collect()
 }
 
-fn settings(key: &Key) -> Result<Settings, Error> {
-    let lanes = key.get("lanes").entries()?;
-    if lanes.is_empty() {
-        return Err(key.get("lanes").error("at least one class is wanted"));
-    }
-    let orgs = key.get("orgs").entries()?;
+fn settings(key: &Key) -> Settings {
+    let lanes = key.get("lanes").some_entries("class");
+    let orgs = key.get("orgs").entries();
     let (limits, rules, info) = (key.get("limits"), key.get("rules"), key.get("family_info"));
     let costs = key.get("costs");
-    let retry_after = limits.get("max_retry_after_us").whole_or(0)?;
-    let reported = names(&key.get("report").get("fields"))?;
+    let retry_after = limits.get("max_retry_after_us").whole_or(0);
+    let reported = names(&key.get("report").get("fields"));
     let module = api::Settings {
-        balancers: key.get("balancers").between(1, 1 << 20, 1)? as usize,
-        me: key.get("me").whole_or(0)? as usize,
-        my_zone: key.get("my_zone").whole_or(0)? as usize,
-        classes: lanes.iter().map(class).collect::<Result<_, _>>()?,
-        tenant_quotas: orgs.iter().map(|o| o.get("quota_per_s").number_or(0.0)).collect::<Result<_, _>>()?,
-        over_share_worth: key.get("over_share_worth").number_or(1.0)?,
+        balancers: key.get("balancers").between(1, 1 << 20, 1) as usize,
+        me: key.get("me").whole_or(0) as usize,
+        my_zone: key.get("my_zone").whole_or(0) as usize,
+        classes: lanes.iter().map(class).collect(),
+        tenant_quotas: orgs.iter().map(|o| o.get("quota_per_s").number_or(0.0)).collect(),
+        over_share_worth: key.get("over_share_worth").number_or(1.0),
         report_fields: reported.iter().map(|f| field(f)).collect(),
-        max_attempts: limits.get("send_cap").between(1, 64, 1)? as usize,
-        may_duplicate: limits.get("may_duplicate").flag_or(false)?,
-        may_cancel: limits.get("cancel").flag_or(false)?,
-        max_retry_after: if limits.get("retry_after").flag_or(false)? { retry_after } else { 0 },
-        tick: key.get("tick_us").whole_or(1000)?,
-        cold_share: rules.get("cold_share").number_or(1.0)?,
-        warm_after: rules.get("warm_after_us").whole_or(0)?,
-        fall_multiple: rules.get("fall_multiple").number_or(2.0)?,
-        fall_window: rules.get("fall_us").whole_or(1_000_000)?,
-        orders: info.get("orders").flag_or(false)?,
-        loads_on_miss: info.get("miss_mode").text_or("load")? != "miss",
-        keep_alive: info.get("keep_alive_us").whole_or(10_000_000)?,
-        load_window: info.get("load_window_us").whole_or(0)?,
-        loads_anyway: info.get("loads_anyway").number_or(0.0)?,
-        loads_per_request: info.get("loads_per_request").number_or(0.0)?,
-        cross_zone_price: costs.get("cross_zone").number_or(0.0)?,
-        fetch_price: costs.get("origin").number_or(0.0)?,
-        memory_price: info.get("memory_price").number_or(0.0)?,
+        max_attempts: limits.get("send_cap").between(1, 64, 1) as usize,
+        may_duplicate: limits.get("may_duplicate").flag_or(false),
+        may_cancel: limits.get("cancel").flag_or(false),
+        max_retry_after: if limits.get("retry_after").flag_or(false) { retry_after } else { 0 },
+        tick: key.get("tick_us").whole_or(1000),
+        cold_share: rules.get("cold_share").number_or(1.0),
+        warm_after: rules.get("warm_after_us").whole_or(0),
+        fall_multiple: rules.get("fall_multiple").number_or(2.0),
+        fall_window: rules.get("fall_us").whole_or(1_000_000),
+        orders: info.get("orders").flag_or(false),
+        loads_on_miss: info.get("miss_mode").text_or("load") != "miss",
+        keep_alive: info.get("keep_alive_us").whole_or(10_000_000),
+        load_window: info.get("load_window_us").whole_or(0),
+        loads_anyway: info.get("loads_anyway").number_or(0.0),
+        loads_per_request: info.get("loads_per_request").number_or(0.0),
+        cross_zone_price: costs.get("cross_zone").number_or(0.0),
+        fetch_price: costs.get("origin").number_or(0.0),
+        memory_price: info.get("memory_price").number_or(0.0),
         // The list comes by itself, from the name service.
         list_on_request: false,
     };
-    Ok(Settings {
-        classes: lanes.iter().map(|l| l.get("name").text().map(str::to_string)).collect::<Result<_, _>>()?,
-        tenants: orgs.iter().map(|o| o.get("name").text().map(str::to_string)).collect::<Result<_, _>>()?,
-        retired: vec![false; lanes.len()],
+    Settings {
+        classes: lanes.iter().map(|l| l.get("name").text().to_string()).collect(),
+        tenants: orgs.iter().map(|o| o.get("name").text().to_string()).collect(),
+        retired: lanes.iter().map(|l| l.get("retired").flag_or(false)).collect(),
+        drain_grace: rules.get("stop_sending_within_us").whole_or(DRAIN_GRACE),
         past: BTreeSet::new(),
         longest: module.classes.iter().map(|c| c.deadline).max().unwrap_or_default(),
-        vocabulary: Vocabulary { zones: names(&key.get("zones"))?, kinds: names(&key.get("kinds"))? },
-        streams_per_conn: limits.get("streams_per_conn").between(1, 1 << 16, 32)? as usize,
-        connect_timeout: limits.get("connect_timeout_us").between(1_000, 60_000_000, 250_000)?,
-        keepalive: limits.get("keepalive_us").between(1_000_000, 1 << 40, 15_000_000)?,
-        max_open: limits.get("max_open").between(1, 1 << 30, 20_000)? as usize,
-        load_wait: info.get("load_wait_us").between(1, 1 << 40, 10_000_000)?,
-        tells_warm: info.get("tells_warm").flag_or(false)?,
-        tells_crowd: info.get("notes_peers_in_hand").flag_or(false)?,
+        vocabulary: Vocabulary { zones: names(&key.get("zones")), kinds: names(&key.get("kinds")) },
+        streams_per_conn: limits.get("streams_per_conn").between(1, 1 << 16, 32) as usize,
+        connect_timeout: limits.get("connect_timeout_us").between(1_000, 60_000_000, 250_000),
+        keepalive: limits.get("keepalive_us").between(1_000_000, 1 << 40, 15_000_000),
+        max_open: limits.get("max_open").between(1, 1 << 30, 20_000) as usize,
+        load_wait: info.get("load_wait_us").between(1, 1 << 40, 10_000_000),
+        tells_warm: info.get("tells_warm").flag_or(false),
+        tells_crowd: info.get("notes_peers_in_hand").flag_or(false),
         module,
-    })
+    }
 }
 
-fn class(key: &Key) -> Result<Class, Error> {
+fn class(key: &Key) -> Class {
     let effects = [Effect::Idempotent, Effect::Deduplicated, Effect::AtMostOnce];
     let scopes = [KeyScope::All, KeyScope::Zone, KeyScope::Cell];
     let scope = key.get("key_scope");
-    Ok(Class {
-        aim: key.get("promise_us").positive()?,
-        deadline: key.get("deadline_us").positive()?,
-        effect: effects[key.get("effect").word(&["idempotent", "deduplicated", "at_most_once"])?],
-        key_scope: if scope.given() { scopes[scope.word(&["all", "zone", "cell"])?] } else { KeyScope::Cell },
-        repeat_window: key.get("repeat_window_us").whole_or(0)?,
-        credit: key.get("credit").number_or(1.0)?,
-        late_worth: key.get("late_worth").number_or(0.0)?,
-    })
+    Class {
+        aim: key.get("promise_us").positive(),
+        deadline: key.get("deadline_us").positive(),
+        effect: effects[key.get("effect").word(&["idempotent", "deduplicated", "at_most_once"])],
+        key_scope: scope.optional(|k| scopes[k.word(&["all", "zone", "cell"])]).unwrap_or(KeyScope::Cell),
+        repeat_window: key.get("repeat_window_us").whole_or(0),
+        credit: key.get("credit").number_or(1.0),
+        late_worth: key.get("late_worth").number_or(0.0),
+    }
 }
 
 fn field(name: &str) -> ReportField {
--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -79,6 +79,7 @@
     handovers_missed: "Handovers that came to nothing.",
     reloads: "Times that a new configuration was taken into use.",
     reloads_refused: "New configurations with a fault, not taken into use.",
+    log_events_dropped: "Events that were not logged, for their number.",
     loop_lag_most_us: "The longest turn of the loop, in microseconds.",
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod agent;
 pub mod api;
 pub mod bans;
+pub mod cli;
 pub mod config;
 pub mod control;
 pub mod core;
@@ -81,9 +82,10 @@
 pub mod front;
 pub mod handover;
 pub mod http;
+pub mod logs;
 pub mod names;
-pub mod net;
 pub mod node;
 
 pub use api::*;
 pub use control::Router;
+pub use ochreward_net as net;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,13 +1,14 @@
 //! Wires the command line up.
 #![forbid(unsafe_code)]
 
+use std::io::Write;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match ochreward::agent::cli::main(std::env::args().skip(1)) {
+    match ochreward::cli::main() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("ochreward: {message}");
+            let _ = writeln!(std::io::stderr(), "ochreward: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -13,8 +13,9 @@
 use crate::names::{Executor, Resolver, State};
 use crate::net::{Clock, Listener, Poll, Ready, Signals, Token, Wish};
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{self, Write};
+use std::io;
 use std::rc::Rc;
+use tracing::warn;
 
 const SIGNALS: u8 = 0;
 const NAMES: u8 = 1;
@@ -94,7 +95,7 @@
             None => Listener::bind(&mut poll, THRIFT, config.listen)?,
         };
         let handover = Handover::begin(config.folder.clone(), now);
-        let settings = config.settings.clone();
+        let settings = config.parts.settings.clone();
         let (bounds, pool_limits, front_limits, places) = limits(&config, &settings, handover.shared());
         let engine = Engine::new(&settings.module, config.seed, now, bounds, counters.clone());
         let pool = Pool::new(EXECUTORS, pool_limits, counters.clone());
@@ -190,6 +191,7 @@
 
     /// The counters, as one line.
     pub fn counters(&self) -> String {
+        self.counters.log_events_dropped.set(crate::logs::dropped());
         self.counters.to_string()
     }
 
@@ -221,7 +223,7 @@
                         self.thrift.leave(self.now, self.now + self.longest().saturating_sub(LAST_CALLS));
                     }
                 }
-                Some(Wish::Print) => say(&self.counters),
+                Some(Wish::Print) => say(self.counters()),
                 Some(Wish::Reload) => self.reload(),
                 None => {}
             },
@@ -231,7 +233,7 @@
     /// Reads the configuration again. Danger: a faulty one must cost nothing, so that nothing of it is taken
     /// before all of it has been checked.
     fn reload(&mut self) {
-        let outcome = Config::from_environment().map_err(|e| e.to_string()).and_then(|c| self.adopt(c));
+        let outcome = Config::from_environment(false).map_err(|e| e.to_string()).and_then(|c| self.adopt(c));
         match outcome {
             Ok(()) => {
                 count(&self.counters.reloads);
@@ -239,7 +241,7 @@
             }
             Err(why) => {
                 count(&self.counters.reloads_refused);
-                let _ = writeln!(io::stderr(), "ochreward: the old configuration stays in use: {why}");
+                warn!(name = self.config.name, %why, "the old configuration stays in use");
             }
         }
     }
@@ -250,7 +252,7 @@
         self.resolver
             .move_to(&mut self.poll, config.names)
             .map_err(|e| format!("configuration, key 'names': {e}"))?;
-        let old = std::mem::replace(&mut self.settings, config.settings.clone());
+        let old = std::mem::replace(&mut self.settings, config.parts.settings.clone());
         let used = self.engine.classes_in_use();
         let fresh = self.settings.follow((&old.classes, &old.module.classes), &used);
         self.settings.longest = self.settings.longest.max(old.longest);
@@ -455,7 +457,7 @@
             Ok(()) => count(&self.counters.handovers_given),
             Err(e) => {
                 count(&self.counters.handovers_missed);
-                let _ = writeln!(io::stderr(), "ochreward: nothing could be handed over: {e}");
+                warn!(name = self.config.name, reason = %e, "nothing could be handed over");
             }
         }
     }
@@ -582,12 +584,12 @@
     shared: bool,
 ) -> (Bounds, executor::Limits, thrift::Limits, usize) {
     let part = if shared { 2 } else { 1 };
-    let (memory, sockets) = (config.resources.memory / part, config.resources.sockets / part);
+    let (memory, sockets) = (config.parts.resources.memory / part, config.parts.resources.sockets / part);
     // Danger: usual clients hold a third at most, but those that ask once and stay, or say nothing, come on top;
     // with no room beyond the third, connections wait in the queue of the system while their time runs. So
     // executors are kept a quarter, many times what they need, and clients may have the rest.
     let executors = (sockets / 4).max(8);
-    let places = if config.ops.is_some() { (config.resources.sockets / 16).clamp(8, 32) } else { 0 };
+    let places = if config.ops.is_some() { (config.parts.resources.sockets / 16).clamp(8, 32) } else { 0 };
     let clients = sockets.saturating_sub(executors + RESERVED + places).max(8);
     let bounds = Bounds {
         attempts: settings.module.max_attempts,
