--- a/crates/stream/tests/subscriber.rs
+++ b/crates/stream/tests/subscriber.rs
@@ -223,7 +223,7 @@
 fn a_version_that_makes_things_worse_is_given_up_for_good_and_the_next_one_is_not() {
     let good = snapshot(version(1, 1), 1);
     let mut bench = Bench::new(Some(good.clone()));
-    let mut serve = |bench: &mut Bench, steps: usize, bad: u64| {
+    let serve = |bench: &mut Bench, steps: usize, bad: u64| {
         for _ in 0..steps {
             bench.health.answers += 100;
             bench.health.bad += bad;
