A dispatcher takes streamed versions; ochreward control serves, publishes and tells who runs which

Need: both ends of streamed configuration in the program. MQTT fronts follow the wanted brokers (src/front/mqtt/set.rs). ochreward control serve, publish, validate, diff, history, rollback, resume, status, watch. Off without [control].

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admin;
 mod catalog;
+pub mod cli;
 pub mod log;
 pub mod record;
 mod rollout;
@@ -16,5 +17,5 @@
 pub use catalog::Catalog;
 pub use log::Log;
 pub use rollout::{Made, Next, Phase, Plan, Report, Rollout, Seen};
-pub use server::{Options, Server};
+pub use server::{Error as ServerError, Options, Server};
 pub use service::{Act, Conn, Instance, Now, Outcome, Service};
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -103,7 +103,11 @@
     type Out = Vec<Said>;
 
     fn received(&mut self, input: &mut Ring, out: &mut Vec<Said>) -> Result<(), Malformed> {
-        while !self.spoilt {
+        if self.spoilt {
+            input.consume(input.len());
+            return Ok(());
+        }
+        loop {
             let bytes = input.contiguous();
             let Some(body) = wire::body(bytes).map_err(|e| Malformed(e.0))? else { return Ok(()) };
             let size = body.len() + 4;
@@ -114,7 +118,6 @@
             out.push(said);
             input.consume(size);
         }
-        Ok(())
     }
 }
 
--- a/crates/stream/src/subscriber.rs
+++ b/crates/stream/src/subscriber.rs
@@ -200,6 +200,11 @@
         self.running.as_ref().map(|r| r.version)
     }
 
+    /// What runs.
+    pub fn running(&self) -> Option<&Snapshot> {
+        self.running.as_deref()
+    }
+
     /// The last good version.
     pub fn good(&self) -> Option<Version> {
         self.good.as_ref().map(|g| g.version)
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod check;
+mod control;
 
 use crate::config::{self, Config, Operator};
 use crate::counters::say;
@@ -117,6 +118,9 @@
     Restart(Named),
     /// Drains an instance and ends it
     Stop(Named),
+    /// The control service, and what it is asked: versions, rollouts, who runs which
+    #[command(subcommand)]
+    Control(control::Words),
     /// Prints the shell's completions
     #[command(after_help = "Example: ochreward completions bash > /etc/bash_completion.d/ochreward")]
     Completions {
@@ -143,6 +147,8 @@
     Io(String, io::Error),
     /// The agent would not.
     Agent(u16),
+    /// The control service would not, or a rollout did not get through.
+    Control(ochreward_control::cli::Failure),
     /// The log filter has a fault.
     Filter(String),
 }
@@ -152,6 +158,7 @@
         match self {
             Error::Config(faults) => faults.fmt(f),
             Error::Io(what, e) => write!(f, "{what}: {e}"),
+            Error::Control(failure) => failure.fmt(f),
             Error::Agent(status) => write!(f, "the agent answered {status}"),
             Error::Filter(why) => write!(f, "--log-level: {why}"),
         }
@@ -189,6 +196,7 @@
         Verb::Ready(named) => agent::order("ready", Some(&named.name), named.at.agent),
         Verb::Restart(named) => agent::order("restart", Some(&named.name), named.at.agent),
         Verb::Stop(named) => agent::order("stop", Some(&named.name), named.at.agent),
+        Verb::Control(words) => control::run(words),
         Verb::Completions { shell } => {
             clap_complete::generate(shell, &mut Words::command(), "ochreward", &mut io::stdout());
             Ok(())
@@ -211,7 +219,7 @@
     let stream = operator.control.as_ref().and_then(|c| c.stream.clone());
     let config = Config::from_environment(stream.is_some())?;
     let (name, brokers) = (config.name.clone(), operator.brokers_of(&config.name));
-    let mut node = Node::new(config, brokers).map_err(io_error("can't start"))?;
+    let mut node = Node::new(config, brokers, stream.as_ref()).map_err(io_error("can't start"))?;
     let address = node.address().map_or_else(String::new, |a| a.to_string());
     if let Some(door) = node.door() {
         say(format_args!("ochreward {name} answers operators on {door}"));
@@ -244,12 +252,25 @@
             "ready n0",
             "restart n0",
             "stop n0 --log-format json",
+            "control serve --store d --listen 127.0.0.1:1",
+            "control publish f --wait",
+            "control status --explain n0",
+            "control diff 1 2",
         ];
         for words in good {
             let words: Vec<&str> = ["ochreward"].into_iter().chain(words.split_whitespace()).collect();
             assert!(Words::try_parse_from(&words).is_ok(), "{words:?}");
         }
-        for words in ["drain", "agent", "status a b", "jump", "health --agent here", "check --config"] {
+        for words in [
+            "drain",
+            "agent",
+            "status a b",
+            "jump",
+            "health --agent here",
+            "check --config",
+            "control",
+            "control serve",
+        ] {
             let words: Vec<&str> = ["ochreward"].into_iter().chain(words.split_whitespace()).collect();
             let error = Words::try_parse_from(&words).err().map(|e| e.exit_code());
             assert_eq!(error, Some(2), "{words:?}");
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -220,6 +220,11 @@
         self.tickets.len()
     }
 
+    /// Bytes of bodies held.
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
     /// When the next timer is due.
     pub fn due(&self) -> Option<Micros> {
         self.timers.due()
--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Connections to executors.
+    pub fn connections(&self) -> usize {
+        self.links.len()
+    }
+
     /// New bounds, for what is begun from now on.
     pub fn bound(&mut self, limits: Limits) {
         self.limits = limits;
--- a/src/front/mqtt/front.rs
+++ b/src/front/mqtt/front.rs
@@ -124,6 +124,11 @@
         }
     }
 
+    /// What it was told.
+    pub fn options(&self) -> &Options {
+        &self.options
+    }
+
     /// Takes nothing more; what was taken is still answered.
     pub fn stop(&mut self) {
         self.stopping = true;
--- a/src/front/mqtt/mod.rs
+++ b/src/front/mqtt/mod.rs
@@ -3,6 +3,8 @@
 
 mod front;
 mod records;
+mod set;
 mod wire;
 
-pub use front::{Front, Options};
+pub use front::Options;
+pub use set::Fronts;
--- a/src/front/thrift/front.rs
+++ b/src/front/thrift/front.rs
@@ -145,6 +145,11 @@
         self.listener.as_ref().and_then(|l| l.address().ok())
     }
 
+    /// Connections of clients.
+    pub fn connections(&self) -> usize {
+        self.links.len()
+    }
+
     /// New bounds; idle connections beyond them are closed.
     pub fn bound(&mut self, now: u64, limits: Limits) {
         self.limits = limits;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -85,6 +85,7 @@
 pub mod logs;
 pub mod names;
 pub mod node;
+pub mod versions;
 
 pub use api::*;
 pub use control::Router;
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,16 +12,21 @@
 use crate::handover::{Handover, News, Word};
 use crate::names::{Executor, Resolver, State};
 use crate::net::{Clock, Listener, Poll, Ready, Signals, Token, Wish};
+use crate::versions::Stream;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::rc::Rc;
 use tracing::warn;
 
+mod versions;
+
 const SIGNALS: u8 = 0;
 const NAMES: u8 = 1;
 const EXECUTORS: u8 = 2;
 const THRIFT: u8 = 3;
 const DOOR: u8 = 4;
+const STREAM: u8 = 5;
+const KEEPER: u8 = 6;
 /// Fronts that speak MQTT are numbered from here.
 const MQTT: u8 = 16;
 
@@ -62,9 +67,16 @@
     settings: Settings,
     engine: Engine,
     thrift: thrift::Front,
-    mqtt: Vec<mqtt::Front>,
-    /// Brokers that the process before may still be connected to.
+    mqtt: mqtt::Fronts,
+    /// Brokers of the operator's file, and those of a version, which take their place.
     brokers: Vec<mqtt::Options>,
+    streamed_brokers: Option<Vec<mqtt::Options>>,
+    /// Where configuration is streamed from.
+    stream: Option<Stream>,
+    /// Executors that the version in use leaves out.
+    streamed_bans: BTreeSet<WorkerId>,
+    /// There are no settings yet: nothing is taken.
+    unconfigured: bool,
     door: Option<Door>,
     bans: Bans,
     bans_at: u64,
@@ -85,7 +97,11 @@
 
 impl Node {
     /// Sets everything up; listens from here on.
-    pub fn new(config: Config, brokers: Vec<mqtt::Options>) -> io::Result<Node> {
+    pub fn new(
+        mut config: Config,
+        brokers: Vec<mqtt::Options>,
+        told: Option<&crate::config::Stream>,
+    ) -> io::Result<Node> {
         let clock = Clock::start();
         let now = clock.read();
         let mut poll = Poll::new()?;
@@ -95,6 +111,12 @@
             None => Listener::bind(&mut poll, THRIFT, config.listen)?,
         };
         let handover = Handover::begin(config.folder.clone(), now);
+        let dormant = handover.shared();
+        let own = Node::own_file(&config);
+        let mut begun = versions::Begun::default();
+        if let Some(told) = told {
+            begun = versions::begin(&mut poll, now, &mut config, (told, own), dormant, &counters)?;
+        }
         let settings = config.parts.settings.clone();
         let (bounds, pool_limits, front_limits, places) = limits(&config, &settings, handover.shared());
         let engine = Engine::new(&settings.module, config.seed, now, bounds, counters.clone());
@@ -113,12 +135,15 @@
             clock,
             now,
             started: now,
-            config,
             settings,
             engine,
             thrift,
-            mqtt: Vec::new(),
+            mqtt: mqtt::Fronts::new(MQTT, counters.clone()),
             brokers,
+            streamed_brokers: begun.brokers,
+            unconfigured: config.bare && begun.stream.as_ref().is_some_and(|s| s.version().is_none()),
+            stream: begun.stream,
+            streamed_bans: begun.bans,
             door,
             bans,
             bans_at: now,
@@ -132,9 +157,10 @@
             signals,
             draining: None,
             counters,
+            config,
         };
         node.relist();
-        node.thrift.accepting(&node.poll, !node.handover.waits());
+        node.open();
         node.trigger();
         node.settle();
         Ok(node)
@@ -170,7 +196,8 @@
                 door.advance(&mut self.poll, self.now);
             }
             self.beside();
-            self.mqtt.iter_mut().for_each(|f| f.advance(&mut self.poll, self.now));
+            self.mqtt.advance(&mut self.poll, self.now);
+            self.stream_advance();
             self.settle();
             if self.finished() {
                 return Ok(());
@@ -185,13 +212,19 @@
         let bans = Some(self.bans_at).filter(|_| self.handover.shared());
         let door = self.door.as_ref().map(Door::due);
         let parts = [self.engine.due(), self.pool.due(), grace, bans, door, Some(self.handover.due())];
-        let own = parts.into_iter().flatten().chain(self.mqtt.iter().map(mqtt::Front::due));
+        let own = parts
+            .into_iter()
+            .flatten()
+            .chain([self.mqtt.due(), self.stream.as_ref().map_or(u64::MAX, Stream::due)]);
         own.min().unwrap_or(u64::MAX).min(self.thrift.due()).min(self.resolver.due())
     }
 
     /// The counters, as one line.
     pub fn counters(&self) -> String {
         self.counters.log_events_dropped.set(crate::logs::dropped());
+        if let Some(stream) = &self.stream {
+            stream.tell_staleness(self.clock.read());
+        }
         self.counters.to_string()
     }
 
@@ -208,11 +241,10 @@
             EXECUTORS => self.pool.ready(&mut self.poll, self.now, ready),
             THRIFT => self.thrift.ready(&mut self.poll, self.now, ready),
             DOOR => self.operators(ready),
-            owner @ MQTT.. => {
+            STREAM | KEEPER => self.stream_ready(ready),
+            MQTT.. => {
                 let unix_ms = self.clock.unix_ms(self.now);
-                if let Some(front) = self.mqtt.get_mut(usize::from(owner - MQTT)) {
-                    front.ready(&mut self.poll, self.now, unix_ms, ready);
-                }
+                self.mqtt.ready(&mut self.poll, self.now, unix_ms, ready);
             }
             _ => match self.signals.ready(ready.token) {
                 Some(Wish::Stop) => {
@@ -233,7 +265,9 @@
     /// Reads the configuration again. Danger: a faulty one must cost nothing, so that nothing of it is taken
     /// before all of it has been checked.
     fn reload(&mut self) {
-        let outcome = Config::from_environment(false).map_err(|e| e.to_string()).and_then(|c| self.adopt(c));
+        let outcome = Config::from_environment(self.stream.is_some())
+            .map_err(|e| e.to_string())
+            .and_then(|c| self.adopt(c));
         match outcome {
             Ok(()) => {
                 count(&self.counters.reloads);
@@ -249,16 +283,14 @@
     /// Goes on with a new configuration; requests, numbers and all that was learned stay.
     fn adopt(&mut self, mut config: Config) -> Result<(), String> {
         config.replaces(&self.config).map_err(|e| e.to_string())?;
+        self.overlay(&mut config)?;
         self.resolver
             .move_to(&mut self.poll, config.names)
             .map_err(|e| format!("configuration, key 'names': {e}"))?;
-        let old = std::mem::replace(&mut self.settings, config.parts.settings.clone());
-        let used = self.engine.classes_in_use();
-        let fresh = self.settings.follow((&old.classes, &old.module.classes), &used);
-        self.settings.longest = self.settings.longest.max(old.longest);
         let (serial, executors) = std::mem::take(&mut config.known);
         self.config = config;
-        self.apply(&fresh);
+        self.adopt_settings();
+        self.stream_file();
         if self.resolver.told(serial) {
             self.executors = executors;
         }
@@ -266,6 +298,20 @@
         Ok(())
     }
 
+    /// Goes on with the configuration's settings; requests keep the classes that they came with.
+    fn adopt_settings(&mut self) {
+        let old = std::mem::replace(&mut self.settings, self.config.parts.settings.clone());
+        let used = self.engine.classes_in_use();
+        let fresh = self.settings.follow((&old.classes, &old.module.classes), &used);
+        self.settings.longest = self.settings.longest.max(old.longest);
+        self.apply(&fresh);
+    }
+
+    /// Takes connections, or leaves them to wait while there is nothing to serve them by.
+    fn open(&mut self) {
+        self.thrift.accepting(&self.poll, !self.handover.waits() && !self.unconfigured);
+    }
+
     /// Has all parts go by the settings, and by whether another process shares the limits.
     fn apply(&mut self, fresh: &[usize]) {
         let shared = self.handover.shared();
@@ -285,9 +331,9 @@
         // Danger: forgotten while it is listed, it would seem to have started anew, without its copies.
         let listed = |id: &WorkerId| self.executors.iter().any(|e| e.id == *id);
         self.attached.retain(|id, at| *at > cold || listed(id));
-        let bans = &self.bans;
+        let (bans, streamed) = (&self.bans, &self.streamed_bans);
         let standing = |e: &Executor| Executor {
-            state: if bans.holds(&e.id) { State::Draining } else { e.state },
+            state: if bans.holds(&e.id) || streamed.contains(&e.id) { State::Draining } else { e.state },
             ..e.clone()
         };
         let executors: Vec<Executor> = self.executors.iter().map(standing).collect();
@@ -308,9 +354,8 @@
     /// each other, and messages would come twice.
     fn trigger(&mut self) {
         if !self.handover.shared() {
-            let counters = &self.counters;
-            let number = |(i, options)| mqtt::Front::new(MQTT + i as u8, options, counters.clone());
-            self.mqtt.extend(std::mem::take(&mut self.brokers).into_iter().take(64).enumerate().map(number));
+            let brokers = self.streamed_brokers.as_ref().unwrap_or(&self.brokers).clone();
+            self.mqtt.want(&self.poll, brokers);
         }
     }
 
@@ -319,7 +364,7 @@
     /// Whether this process serves, knows whom to send to, and nothing is still to be handed over to it.
     fn is_ready(&self) -> bool {
         let known = self.known || self.now >= self.started + LIST_PATIENCE;
-        known && !self.handover.waits() && self.draining.is_none()
+        known && !self.handover.waits() && !self.unconfigured && self.draining.is_none()
     }
 
     fn operators(&mut self, ready: Ready) {
@@ -400,6 +445,7 @@
         if self.handover.shared() && self.now >= self.bans_at {
             self.bans_at = self.now + BANS_EVERY;
             self.reread();
+            self.stream_follow();
         }
         match self.handover.advance(self.now) {
             None => {}
@@ -414,18 +460,19 @@
             }
             Some(News::Told(word)) => {
                 self.take_over(*word);
-                self.thrift.accepting(&self.poll, true);
+                self.open();
                 self.obey();
             }
             Some(News::Untold) => {
                 count(&self.counters.handovers_missed);
-                self.thrift.accepting(&self.poll, true);
+                self.open();
                 self.obey();
             }
             Some(News::Alone) => {
                 self.reread();
                 self.apply(&[]);
-                self.thrift.accepting(&self.poll, true);
+                self.open();
+                self.stream_take_over();
                 self.trigger();
                 self.obey();
             }
@@ -488,7 +535,7 @@
     fn settle(&mut self) {
         loop {
             let mut intake = std::mem::take(&mut self.thrift.intake);
-            self.mqtt.iter_mut().for_each(|f| intake.append(&mut f.intake));
+            self.mqtt.take_intake(&mut intake);
             let reports = std::mem::take(&mut self.pool.reports);
             if intake.is_empty() && reports.is_empty() && self.engine.commands.is_empty() {
                 return;
@@ -530,18 +577,20 @@
                 self.pool.load(poll, now, order, &worker, &function, copies)
             }
             Command::Answer { ticket, answer } => {
-                match self.mqtt.get_mut(usize::from(ticket.front.wrapping_sub(MQTT))) {
-                    Some(front) => front.answer(poll, now, ticket, answer),
-                    None => self.thrift.answer(poll, now, ticket, &answer),
+                if self.mqtt.has(ticket.front) {
+                    self.mqtt.answer(poll, now, ticket, answer);
+                } else {
+                    self.thrift.answer(poll, now, ticket, &answer);
                 }
             }
         }
     }
 
     fn invalid(&mut self, ticket: Ticket, invalid: &Invalid, past: bool) {
-        match self.mqtt.get_mut(usize::from(ticket.front.wrapping_sub(MQTT))) {
-            Some(front) => front.invalid(&self.poll, self.now, ticket, invalid),
-            None => self.thrift.invalid(&self.poll, self.now, ticket, invalid, !past),
+        if self.mqtt.has(ticket.front) {
+            self.mqtt.invalid(&self.poll, self.now, ticket, invalid);
+        } else {
+            self.thrift.invalid(&self.poll, self.now, ticket, invalid, !past);
         }
     }
 
@@ -563,14 +612,14 @@
             self.engine.give_up(self.now);
             self.settle();
         }
-        self.mqtt.iter_mut().for_each(mqtt::Front::stop);
+        self.mqtt.stop();
         let settled = self.engine.owed() == 0
             && !self.thrift.unsent()
             && self.thrift.left(self.now)
-            && self.mqtt.iter().all(mqtt::Front::settled);
+            && self.mqtt.settled();
         let over = settled || self.now >= since + PATIENCE;
         if over {
-            self.mqtt.iter_mut().for_each(|f| f.leave(&self.poll));
+            self.mqtt.leave(&self.poll);
         }
         over
     }
