A trial that is passed counts as the time before the next one

Cause: the socket test of trials failed: after a version was kept, samples began anew, and the next version had 9 answers to be held against where 10 are wanted, so that a version that refused everything was kept as untested. Change: samples go on through a trial; only one that was given up leaves none.

--- a/crates/stream/src/trial.rs
+++ b/crates/stream/src/trial.rs
@@ -114,13 +114,12 @@
             return None;
         }
         self.next = now + (self.rules.length / SAMPLES).max(1);
-        let Some(watch) = &mut self.watch else {
-            self.samples.push_back(health);
-            while self.samples.len() as u64 > SAMPLES + 1 {
-                self.samples.pop_front();
-            }
-            return None;
-        };
+        // A trial that is passed is a time before the next one.
+        self.samples.push_back(health);
+        while self.samples.len() as u64 > SAMPLES + 1 {
+            self.samples.pop_front();
+        }
+        let watch = self.watch.as_mut()?;
         let after = since(health, watch.start);
         let tells = after.answers >= self.rules.least && watch.before.answers >= self.rules.least;
         watch.strikes =
@@ -133,7 +132,10 @@
         } else {
             return None;
         };
-        self.abandon();
+        self.watch = None;
+        if matches!(verdict, Verdict::Worse { .. }) {
+            self.samples.clear();
+        }
         Some(verdict)
     }
 }
