--- a/src/agent/instance.rs
+++ b/src/agent/instance.rs
@@ -34,6 +34,8 @@
     pub told: Instance,
     program: PathBuf,
     operator: PathBuf,
+    /// The operator's file names a control service.
+    streams: bool,
     pub wanted: Wanted,
     child: Option<Child>,
     started: u64,
@@ -50,11 +52,12 @@
 }
 
 impl Managed {
-    pub fn new(told: Instance, program: PathBuf, operator: PathBuf) -> Managed {
+    pub fn new(told: Instance, program: PathBuf, operator: PathBuf, streams: bool) -> Managed {
         Managed {
             told,
             program,
             operator,
+            streams,
             wanted: Wanted::Ready,
             child: None,
             started: 0,
@@ -114,9 +117,12 @@
     fn start(&mut self, now: u64) {
         let mut command = Command::new(&self.program);
         command.arg("run").arg("--with-parent");
-        if self.told.mqtt {
+        if self.told.mqtt || self.streams {
             command.arg("--operator").arg(&self.operator);
         }
+        if !self.told.mqtt {
+            command.arg("--without-mqtt");
+        }
         command
             .env("ROUTER_NAME", &self.told.name)
             .env("ROUTER_LISTEN", self.told.listen.to_string())
--- a/src/agent/supervisor.rs
+++ b/src/agent/supervisor.rs
@@ -53,6 +53,7 @@
 impl Supervisor {
     /// Listens; starts nothing yet.
     pub fn new(operator: Operator, file: PathBuf) -> io::Result<Supervisor> {
+        let streams = operator.control.as_ref().is_some_and(|c| c.stream.is_some());
         let agent = operator.agent.ok_or_else(|| io::Error::other("the operator's file has no [agent]"))?;
         let mut poll = Poll::new()?;
         let program = std::env::current_exe()?;
@@ -63,7 +64,7 @@
             }
         }
         let signals = Signals::new(&mut poll, SIGNALS)?;
-        let manage = |told| Managed::new(told, program.clone(), file.clone());
+        let manage = |told| Managed::new(told, program.clone(), file.clone(), streams);
         let instances = agent.instances.iter().cloned().map(manage).collect();
         let (checks, asking) = (Slab::new(), Slab::new());
         let (clock, stopping) = (Clock::start(), false);
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -55,6 +55,9 @@
     /// The operator's file: MQTT brokers, and the control service that configuration comes from
     #[arg(long, value_name = "FILE")]
     operator: Option<PathBuf>,
+    /// Take no MQTT triggers, whatever the operator's file says
+    #[arg(long, hide = true)]
+    without_mqtt: bool,
     /// End when the process that started this one ends
     #[arg(long, hide = true)]
     with_parent: bool,
@@ -218,7 +221,8 @@
     let operator = asked.operator.as_deref().map(load).transpose()?.unwrap_or_default();
     let stream = operator.control.as_ref().and_then(|c| c.stream.clone());
     let config = Config::from_environment(stream.is_some())?;
-    let (name, brokers) = (config.name.clone(), operator.brokers_of(&config.name));
+    let name = config.name.clone();
+    let brokers = if asked.without_mqtt { Vec::new() } else { operator.brokers_of(&name) };
     let mut node = Node::new(config, brokers, stream.as_ref()).map_err(io_error("can't start"))?;
     let address = node.address().map_or_else(String::new, |a| a.to_string());
     if let Some(door) = node.door() {
--- a/src/config/control.rs
+++ b/src/config/control.rs
@@ -13,7 +13,7 @@
     pub services: Vec<SocketAddr>,
     /// What the instance says of itself, such as `hall`: overlays and waves go by it.
     pub labels: BTreeMap<String, String>,
-    /// Where the last good version is kept; else beside the bans, in `$TMPDIR`.
+    /// Where the last good version is kept, in a folder of the instance's name; else beside the bans, in `$TMPDIR`.
     pub folder: Option<PathBuf>,
     /// The first wait after a lost connection, and the longest, in microseconds.
     pub backoff: (u64, u64),
--- a/src/versions/stream.rs
+++ b/src/versions/stream.rs
@@ -108,7 +108,9 @@
         counters: Rc<Counters>,
     ) -> io::Result<(Stream, Option<Snapshot>)> {
         let told = start.told;
-        let folder = told.folder.clone().or(start.folder.map(|f| f.join("versions")));
+        // Several instances may be told by one file.
+        let own = told.folder.as_ref().map(|f| f.join(start.name));
+        let folder = own.or(start.folder.map(|f| f.join("versions")));
         let files = folder.clone().and_then(|folder| {
             let opened = LastGood::open(folder, start.name);
             opened
--- a/tests/sockets/stand.rs
+++ b/tests/sockets/stand.rs
@@ -82,6 +82,11 @@
         Program::launch(command, config)
     }
 
+    /// A command of the test's own.
+    pub fn launched(command: Command, config: &Value) -> Program {
+        Program::spawn(command, config)
+    }
+
     fn spawn(mut command: Command, config: &Value) -> Program {
         command.env_remove("TMPDIR").env_remove("ROUTER_OPS").env_remove("ROUTER_INHERITED_FD");
         Program::launch(command, config)
