--- a/src/node.rs
+++ b/src/node.rs
@@ -16,7 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::rc::Rc;
-use tracing::warn;
+use tracing::{info, warn};
 
 mod versions;
 
@@ -248,6 +248,13 @@
             }
             _ => match self.signals.ready(ready.token) {
                 Some(Wish::Stop) => {
+                    if self.draining.is_none() {
+                        info!(
+                            instance = self.config.name,
+                            followed = self.handover.followed(),
+                            "settles and ends"
+                        );
+                    }
                     self.draining.get_or_insert(self.now);
                     if self.handover.followed() {
                         // The successor takes what comes from here on.
@@ -275,7 +282,7 @@
             }
             Err(why) => {
                 count(&self.counters.reloads_refused);
-                warn!(name = self.config.name, %why, "the old configuration stays in use");
+                warn!(instance = self.config.name, %why, "the old configuration stays in use");
             }
         }
     }
@@ -407,6 +414,7 @@
         let began = !self.bans.holds(id);
         match self.bans.ban(id) {
             Ok(()) if began => {
+                info!(instance = self.config.name, worker = &**id, reason = "door", "an executor is left out");
                 count(&self.counters.bans_begun);
                 self.relist();
                 (200, "left out".to_string())
@@ -434,6 +442,7 @@
 
     /// An executor is back in use. It was restarted meanwhile, and counts as started now.
     fn back(&mut self, id: WorkerId) {
+        info!(instance = self.config.name, worker = &*id, "an executor is back in use");
         count(&self.counters.bans_ended);
         self.attached.insert(id, self.now);
     }
@@ -450,11 +459,13 @@
         match self.handover.advance(self.now) {
             None => {}
             Some(News::Asked) => {
+                info!(instance = self.config.name, "a successor runs");
                 count(&self.counters.handovers_asked);
                 self.hand_over();
                 self.apply(&[]);
             }
             Some(News::Deserted) => {
+                warn!(instance = self.config.name, "the successor has gone without taking over");
                 self.reread();
                 self.apply(&[]);
             }
@@ -464,11 +475,13 @@
                 self.obey();
             }
             Some(News::Untold) => {
+                warn!(instance = self.config.name, "the process before handed nothing over");
                 count(&self.counters.handovers_missed);
                 self.open();
                 self.obey();
             }
             Some(News::Alone) => {
+                info!(instance = self.config.name, "serves alone");
                 self.reread();
                 self.apply(&[]);
                 self.open();
@@ -504,7 +517,7 @@
             Ok(()) => count(&self.counters.handovers_given),
             Err(e) => {
                 count(&self.counters.handovers_missed);
-                warn!(name = self.config.name, reason = %e, "nothing could be handed over");
+                warn!(instance = self.config.name, reason = %e, "nothing could be handed over");
             }
         }
     }
--- a/src/versions/stream.rs
+++ b/src/versions/stream.rs
@@ -245,7 +245,8 @@
             if let Err(why) = result
                 && !ended
             {
-                info!(instance = self.options.instance, ?why, "the stream of configuration ended");
+                let stale_ms = self.subscriber.stale_for(now).map(|us| us / 1000);
+                info!(instance = self.options.instance, ?why, stale_ms, "the stream of configuration ended");
                 count(&self.counters.stream_closes);
                 self.link = None;
                 self.subscriber.lost(now);
@@ -337,7 +338,13 @@
                 }
                 Step::Disconnect(why) => {
                     count(&self.counters.stream_closes);
-                    info!(instance = self.options.instance, ?why, "the stream of configuration is ended");
+                    let stale_ms = self.subscriber.stale_for(now).map(|us| us / 1000);
+                    info!(
+                        instance = self.options.instance,
+                        ?why,
+                        stale_ms,
+                        "the stream of configuration is ended"
+                    );
                     self.link = None;
                 }
                 Step::Send(message) => {
--- a/tests/schema.rs
+++ b/tests/schema.rs
@@ -44,6 +44,8 @@
     let schema = Config::schema();
     let read = |v: &Value| Config::read(&v.to_string()).map(drop);
     agree(&schema, &example(), &read(&example()), true);
+    let shipped = serde_json::from_str(include_str!("../deploy/example.json")).expect("JSON");
+    agree(&schema, &shipped, &read(&shipped), true);
     let broken = [
         ("/listen", None),
         ("/names", Some(json!("here"))),
