--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -34,6 +34,8 @@
 const SILENT_BEATS: u64 = 5;
 /// The longest wait of a turn.
 const EVERY: u64 = 250_000;
+/// Frames put out to a connection at a time, so that one that reads fast holds up no other.
+const FRAMES: usize = 16;
 /// Connections accepted in a turn.
 const ACCEPTS: usize = 64;
 
@@ -150,6 +152,8 @@
     peers: Slab<Peer>,
     beat_at: u64,
     said: Vec<Said>,
+    /// Connections that took all they were given, and are to be given more.
+    hungry: Vec<usize>,
     /// The log failed: what was decided since is not written down, and nothing more is done.
     broken: Option<io::Error>,
 }
@@ -175,8 +179,21 @@
         log.append(&records)?;
         let (peers, said) = (Slab::new(), Vec::new());
         let beat_at = time.us + options.heartbeat;
-        let broken = None;
-        Ok(Server { poll, clock, listener, signals, options, service, log, peers, beat_at, said, broken })
+        let (hungry, broken) = (Vec::new(), None);
+        Ok(Server {
+            poll,
+            clock,
+            listener,
+            signals,
+            options,
+            service,
+            log,
+            peers,
+            beat_at,
+            said,
+            hungry,
+            broken,
+        })
     }
 
     /// Where it listens.
@@ -195,8 +212,9 @@
         loop {
             let time = self.clock.read();
             let due = self.beat_at.min(self.service.due(time)).saturating_sub(time).min(EVERY);
-            self.poll.wait(due, &mut happened)?;
+            self.poll.wait(if self.hungry.is_empty() { due } else { 0 }, &mut happened)?;
             let time = now(&self.clock);
+            std::mem::take(&mut self.hungry).into_iter().for_each(|slot| self.pump(slot));
             for ready in happened.drain(..) {
                 match ready.token.owner {
                     SIGNALS => {
@@ -385,7 +403,10 @@
     /// Puts out what there is room for.
     fn pump(&mut self, slot: usize) {
         let Some(peer) = self.peers.get_mut(slot) else { return };
-        while peer.link.io.unsent() + MOST_FRAME + 4 <= OUT {
+        for _ in 0..FRAMES {
+            if peer.link.io.unsent() + MOST_FRAME + 4 > OUT {
+                break;
+            }
             let Some(outgoing) = &mut peer.outgoing else { break };
             let (frame, over) = outgoing.next();
             // There is room for the longest frame.
@@ -401,6 +422,9 @@
         if peer.link.flush(&self.poll).is_err() {
             return self.close(slot);
         }
+        if peer.outgoing.is_some() && peer.link.io.unsent() == 0 {
+            self.hungry.push(slot);
+        }
         if peer.ending && peer.link.io.unsent() == 0 {
             // Only our side ends: a close with something unread could cost the last words.
             peer.link.io.finish();
--- a/src/node.rs
+++ b/src/node.rs
@@ -414,7 +414,12 @@
         let began = !self.bans.holds(id);
         match self.bans.ban(id) {
             Ok(()) if began => {
-                info!(instance = self.config.name, worker = &**id, reason = "door", "an executor is left out");
+                info!(
+                    instance = self.config.name,
+                    worker = &**id,
+                    reason = "door",
+                    "an executor is left out"
+                );
                 count(&self.counters.bans_begun);
                 self.relist();
                 (200, "left out".to_string())
