--- /dev/null
+++ b/crates/mqtt/src/topic.rs
@@ -0,0 +1,154 @@
+//! Topic names and filters (MQTT 5.0, section 4.7), and shared subscriptions (4.8.2).
+
+use crate::reason::{Reason, Violation};
+
+/// The longest name or filter, in bytes [MQTT-4.7.3-3].
+pub const MOST: usize = 65_535;
+
+fn invalid(reason: Reason, statement: &'static str, what: &'static str) -> Violation {
+    Violation { reason, statement, what }
+}
+
+fn usable(text: &str, reason: Reason) -> Result<(), Violation> {
+    if text.is_empty() {
+        return Err(invalid(reason, "MQTT-4.7.3-1", "an empty topic"));
+    }
+    if text.contains('\0') {
+        return Err(invalid(reason, "MQTT-4.7.3-2", "a topic with a null character"));
+    }
+    if text.len() > MOST {
+        return Err(invalid(reason, "MQTT-4.7.3-3", "a topic longer than 65535 bytes"));
+    }
+    Ok(())
+}
+
+/// Checks a name that something is published to.
+pub fn check_name(name: &str) -> Result<(), Violation> {
+    usable(name, Reason::TopicNameInvalid)?;
+    if name.contains(['+', '#']) {
+        return Err(invalid(Reason::TopicNameInvalid, "MQTT-3.3.2-2", "a topic name with a wildcard"));
+    }
+    Ok(())
+}
+
+/// A filter that something subscribes by.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Filter {
+    /// The name that a subscription is shared under.
+    pub share: Option<String>,
+    /// The filter itself.
+    pub filter: String,
+}
+
+impl Filter {
+    /// Reads and checks a filter.
+    pub fn read(text: &str) -> Result<Filter, Violation> {
+        let bad = |statement, what| invalid(Reason::TopicFilterInvalid, statement, what);
+        usable(text, Reason::TopicFilterInvalid)?;
+        let (share, filter) = match text.strip_prefix("$share/") {
+            None => (None, text),
+            Some(rest) => {
+                let (share, filter) = rest
+                    .split_once('/')
+                    .ok_or(bad("MQTT-4.8.2-2", "a shared subscription without a filter"))?;
+                if share.is_empty() {
+                    return Err(bad("MQTT-4.8.2-1", "a shared subscription without a name"));
+                }
+                if share.contains(['+', '#']) {
+                    return Err(bad("MQTT-4.8.2-2", "a share name with a wildcard"));
+                }
+                usable(filter, Reason::TopicFilterInvalid)?;
+                (Some(share.to_string()), filter)
+            }
+        };
+        let levels: Vec<&str> = filter.split('/').collect();
+        for (i, level) in levels.iter().enumerate() {
+            if level.contains('#') && (*level != "#" || i + 1 < levels.len()) {
+                return Err(bad("MQTT-4.7.1-1", "a multi-level wildcard that is not the last level"));
+            }
+            if level.contains('+') && *level != "+" {
+                return Err(bad("MQTT-4.7.1-2", "a single-level wildcard that is not a whole level"));
+            }
+        }
+        Ok(Filter { share, filter: filter.to_string() })
+    }
+
+    /// Whether it has wildcards.
+    pub fn has_wildcards(&self) -> bool {
+        self.filter.contains(['+', '#'])
+    }
+
+    /// Whether a name falls under it.
+    pub fn matches(&self, name: &str) -> bool {
+        // Wildcards at the front do not match names that begin with `$` [MQTT-4.7.2-1].
+        if name.starts_with('$') && self.filter.starts_with(['+', '#']) {
+            return false;
+        }
+        let (mut filter, mut levels) = (self.filter.split('/'), name.split('/'));
+        loop {
+            match (filter.next(), levels.next()) {
+                (Some("#"), _) => return true,
+                (Some("+"), Some(_)) => {}
+                (Some(wanted), Some(level)) if wanted == level => {}
+                (None, None) => return true,
+                _ => return false,
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn filters_match_as_the_examples_of_the_specification_say() {
+        let table = [
+            ("sport/tennis/player1/#", "sport/tennis/player1", true),
+            ("sport/tennis/player1/#", "sport/tennis/player1/ranking", true),
+            ("sport/tennis/player1/#", "sport/tennis/player1/score/wimbledon", true),
+            ("sport/#", "sport", true),
+            ("#", "any/thing", true),
+            ("sport/tennis/+", "sport/tennis/player1", true),
+            ("sport/tennis/+", "sport/tennis/player1/ranking", false),
+            ("sport/+", "sport", false),
+            ("sport/+", "sport/", true),
+            ("+/+", "/finance", true),
+            ("/+", "/finance", true),
+            ("+", "/finance", false),
+            ("#", "$SYS/monitor", false),
+            ("+/monitor/Clients", "$SYS/monitor/Clients", false),
+            ("$SYS/#", "$SYS/monitor", true),
+            ("$SYS/monitor/+", "$SYS/monitor/Clients", true),
+            ("ACCOUNTS", "Accounts", false),
+            ("a//b", "a/b", false),
+        ];
+        for (filter, name, matches) in table {
+            let filter = Filter::read(filter).expect("a filter");
+            assert_eq!(filter.matches(name), matches, "{filter:?} {name}");
+        }
+    }
+
+    #[test]
+    fn each_rule_is_named_by_its_statement() {
+        let filters = [
+            ("", "MQTT-4.7.3-1"),
+            ("a\0", "MQTT-4.7.3-2"),
+            ("sport/tennis#", "MQTT-4.7.1-1"),
+            ("sport/#/ranking", "MQTT-4.7.1-1"),
+            ("sport+", "MQTT-4.7.1-2"),
+            ("$share//a", "MQTT-4.8.2-1"),
+            ("$share/a", "MQTT-4.8.2-2"),
+            ("$share/a+/b", "MQTT-4.8.2-2"),
+            ("$share/a/", "MQTT-4.7.3-1"),
+        ];
+        for (text, statement) in filters {
+            assert_eq!(Filter::read(text).map_err(|v| v.statement), Err(statement), "{text}");
+        }
+        let shared = Filter::read("$share/g/a/+").expect("a filter");
+        assert!(shared.share.as_deref() == Some("g") && shared.matches("a/b") && shared.has_wildcards());
+        assert_eq!(check_name("a/+").map_err(|v| v.statement), Err("MQTT-3.3.2-2"));
+        assert!(check_name("$SYS/a b/\u{e9}").is_ok());
+        assert_eq!(check_name(&"a".repeat(MOST + 1)).map_err(|v| v.statement), Err("MQTT-4.7.3-3"));
+    }
+}
