Stations may connect to the dispatcher itself, by MQTT 5.0 at QoS 0, 1 and 2

Need: a small site has stations and a dispatcher, and no broker between them. Change: src/front/stations: sessions, policy, quotas without I/O, a listener, a thread for passwords; [stations] and a users' file read again at SIGHUP; ochreward hash-password. A message is acknowledged with its final answer, in the order of the messages; a repeat is answered from what is kept, goes on with what is under way, or counts as one that may have run. Off without [stations].

--- a/crates/mqtt/src/delivery.rs
+++ b/crates/mqtt/src/delivery.rs
@@ -243,12 +243,12 @@
     Again(Box<Packet>),
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum Got {
     /// Not settled.
     Open,
     /// Settled, and the answer waits for those before it [MQTT-4.6.0-2, MQTT-4.6.0-3].
-    Held(Reason),
+    Held(Reason, Box<Properties>),
     /// Answered by a PUBREC; the number is kept until its PUBREL.
     Recorded,
 }
@@ -329,20 +329,20 @@
     }
 
     /// A message is settled: the answers that may be sent now, in the order in which their messages came.
-    pub fn settle(&mut self, id: u16, reason: Reason) -> Vec<Packet> {
+    pub fn settle(&mut self, id: u16, reason: Reason, properties: Properties) -> Vec<Packet> {
         if let Some((_, got @ Got::Open)) = self.got.get_mut(&id) {
-            *got = Got::Held(reason);
+            *got = Got::Held(reason, Box::new(properties));
         }
         let mut out = Vec::new();
         while let Some(id) = self.owed.front().copied() {
-            let Some((qos, Got::Held(reason))) = self.got.get(&id).copied() else { break };
+            let Some((qos, Got::Held(reason, properties))) = self.got.get(&id).cloned() else { break };
             self.owed.pop_front();
+            let answer = Ack { id, reason, properties: *properties };
             if qos == Qos::ExactlyOnce && !reason.failed() {
                 self.got.insert(id, (qos, Got::Recorded));
-                out.push(Packet::Pubrec(ack(id, reason)));
+                out.push(Packet::Pubrec(answer));
             } else {
                 self.got.remove(&id);
-                let answer = ack(id, reason);
                 out.push(if qos == Qos::ExactlyOnce {
                     Packet::Pubrec(answer)
                 } else {
--- a/crates/mqtt/tests/delivery.rs
+++ b/crates/mqtt/tests/delivery.rs
@@ -99,7 +99,7 @@
             Op::Settle(which) => {
                 if !self.open.is_empty() {
                     let id = self.open.remove(which % self.open.len());
-                    self.back.extend(self.inn.settle(id, Reason::Success));
+                    self.back.extend(self.inn.settle(id, Reason::Success, Properties::default()));
                 }
             }
             Op::Break(window) => {
@@ -264,9 +264,9 @@
         let mut publish = Publish { id, ..message(0, qos) };
         assert_eq!(inn.publish(&mut publish), Ok(Taken::New));
     }
-    assert_eq!(inn.settle(3, Reason::Success), []);
-    assert_eq!(inn.settle(2, Reason::QuotaExceeded), []);
-    let sent = inn.settle(1, Reason::Success);
+    assert_eq!(inn.settle(3, Reason::Success, Properties::default()), []);
+    assert_eq!(inn.settle(2, Reason::QuotaExceeded, Properties::default()), []);
+    let sent = inn.settle(1, Reason::Success, Properties::default());
     let wanted = [
         Packet::Puback(ack(1, Reason::Success)),
         Packet::Pubrec(ack(2, Reason::QuotaExceeded)),
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -3,6 +3,7 @@
 use super::{Error, io_error};
 use crate::config::{Config, Faults, Operator, version};
 use crate::counters::say;
+use crate::front::stations;
 use clap::ValueEnum;
 use std::path::Path;
 
@@ -25,7 +26,14 @@
         faults.extend(Config::read(&text).err());
     }
     if let Some(path) = operator {
-        faults.extend(Operator::load(path).err());
+        match Operator::load(path) {
+            Err(found) => faults.push(found),
+            // The users' file is part of what the operator's file says.
+            Ok(operator) => {
+                let users = operator.stations.as_ref().and_then(|s| stations::users(&s.users).err());
+                faults.extend(users.map(|why| Faults::one("stations.users", why)));
+            }
+        }
     }
     if config.is_none() && operator.is_none() {
         faults.extend(Config::from_environment(false).err());
@@ -45,3 +53,19 @@
     };
     say(format_args!("{schema:#}"));
 }
+
+/// Prints the hash of the password that standard input holds, without its line end.
+pub fn hash_password() -> Result<(), Error> {
+    use std::io::Read;
+    let mut password = Vec::new();
+    std::io::stdin().take(4_096).read_to_end(&mut password).map_err(io_error("standard input"))?;
+    while password.last().is_some_and(|b| matches!(b, b'\r' | b'\n')) {
+        password.pop();
+    }
+    let mut salt = [0; 16];
+    let random = std::fs::File::open("/dev/urandom").and_then(|mut f| f.read_exact(&mut salt));
+    random.map_err(io_error("/dev/urandom"))?;
+    let unfit = || Error::Io("the password".to_string(), std::io::ErrorKind::InvalidInput.into());
+    say(stations::hash(&password, &salt).ok_or_else(unfit)?);
+    Ok(())
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -124,6 +124,9 @@
     /// The control service, and what it is asked: versions, rollouts, who runs which
     #[command(subcommand)]
     Control(control::Words),
+    /// Reads a password from standard input and prints its hash for a users' file
+    #[command(after_help = "Example: ochreward hash-password < password.txt")]
+    HashPassword,
     /// Prints the shell's completions
     #[command(after_help = "Example: ochreward completions bash > /etc/bash_completion.d/ochreward")]
     Completions {
@@ -200,6 +203,7 @@
         Verb::Restart(named) => agent::order("restart", Some(&named.name), named.at.agent),
         Verb::Stop(named) => agent::order("stop", Some(&named.name), named.at.agent),
         Verb::Control(words) => control::run(words),
+        Verb::HashPassword => check::hash_password(),
         Verb::Completions { shell } => {
             clap_complete::generate(shell, &mut Words::command(), "ochreward", &mut io::stdout());
             Ok(())
@@ -223,11 +227,15 @@
     let config = Config::from_environment(stream.is_some())?;
     let name = config.name.clone();
     let brokers = if asked.without_mqtt { Vec::new() } else { operator.brokers_of(&name) };
-    let mut node = Node::new(config, brokers, stream.as_ref()).map_err(io_error("can't start"))?;
+    let mut node =
+        Node::new(config, brokers, stream.as_ref(), operator.stations).map_err(io_error("can't start"))?;
     let address = node.address().map_or_else(String::new, |a| a.to_string());
     if let Some(door) = node.door() {
         say(format_args!("ochreward {name} answers operators on {door}"));
     }
+    if let Some(stations) = node.stations() {
+        say(format_args!("ochreward {name} takes stations on {stations}"));
+    }
     say(format_args!("ochreward {name} serves on {address}"));
     node.run().map_err(io_error("the loop ended"))?;
     say(node.counters());
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -3,6 +3,7 @@
 use super::control::{self, Control};
 use super::keys::{Faults, Key};
 use crate::front::mqtt::Options;
+use crate::front::stations;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -48,6 +49,8 @@
     pub agent: Option<Agent>,
     /// The control service that configuration comes from, or that this process is.
     pub control: Option<Control>,
+    /// Where stations connect to the dispatcher itself.
+    pub stations: Option<stations::Options>,
 }
 
 impl Operator {
@@ -73,11 +76,12 @@
     }
 
     fn of(top: &Key) -> Operator {
-        top.only(&["mqtt", "agent", "control"]);
+        top.only(&["mqtt", "agent", "control", "stations"]);
         Operator {
             brokers: brokers(&top.get("mqtt")),
             agent: top.get("agent").optional(read_agent),
             control: top.get("control").optional(control::read),
+            stations: top.get("stations").optional(stations),
         }
     }
 
@@ -126,6 +130,35 @@
     }
 }
 
+fn stations(key: &Key) -> stations::Options {
+    key.only(&[
+        "listen",
+        "users",
+        "connections",
+        "receive_maximum",
+        "maximum_packet",
+        "keep_alive_s",
+        "session_expiry_s",
+        "sessions",
+        "waiting",
+        "pushback_ms",
+    ]);
+    stations::Options {
+        listen: key.get("listen").address(),
+        users: key.get("users").text().into(),
+        connections: key.get("connections").between(1, 60_000, 256) as usize,
+        rules: stations::Rules {
+            receive_maximum: key.get("receive_maximum").between(1, 1024, 16) as u16,
+            maximum_packet: key.get("maximum_packet").between(1024, 1 << 18, 32 << 10) as u32,
+            keep_alive: key.get("keep_alive_s").between(1, 43_690, 60) as u16,
+            session_expiry: key.get("session_expiry_s").between(0, 604_800, 3_600) as u32,
+            sessions: key.get("sessions").between(1, 60_000, 1_024) as usize,
+            waiting: key.get("waiting").between(1, 4_096, 32) as usize,
+            pushback: key.get("pushback_ms").between(1, 600_000, 500) * 1000,
+        },
+    }
+}
+
 fn read_agent(key: &Key) -> Agent {
     key.only(&["listen", "check_every_ms", "check_timeout_ms", "drain_ms", "stop_timeout_ms", "instance"]);
     let instances: Vec<Instance> = key.get("instance").entries().iter().map(instance).collect();
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -3,6 +3,7 @@
 
 mod info;
 pub mod mqtt;
+pub mod stations;
 pub mod thrift;
 
 use crate::core::Ticket;
--- /dev/null
+++ b/src/front/stations/verifier.rs
@@ -0,0 +1,94 @@
+//! The thread that checks passwords against their hashes, which takes milliseconds on purpose. One at a time; the loop
+//! is woken when one is done.
+
+use super::sessions::Conn;
+use crate::net::{Interest, Poll, Token};
+use argon2::{Argon2, PasswordHash, PasswordVerifier};
+use std::io::{self, Read, Write};
+use std::os::unix::net::UnixStream;
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+
+/// Passwords that may wait; more are turned down, and their stations come back.
+const MOST_WAITING: usize = 256;
+
+struct Job {
+    conn: Conn,
+    /// Tells this connection from another in its place.
+    serial: u32,
+    password: Vec<u8>,
+    hash: String,
+}
+
+/// The loop's side of the thread.
+pub struct Verifier {
+    jobs: SyncSender<Job>,
+    done: Receiver<(Conn, u32, bool)>,
+    woken: UnixStream,
+    token: Token,
+}
+
+impl Verifier {
+    /// Starts the thread. It ends with the loop's side.
+    pub fn start(poll: &mut Poll, owner: u8, slot: usize) -> io::Result<Verifier> {
+        let (woken, wake) = UnixStream::pair()?;
+        woken.set_nonblocking(true)?;
+        wake.set_nonblocking(true)?;
+        let token = poll.token(owner, slot);
+        poll.add(&woken, token, Interest { read: true, write: false })?;
+        let (jobs, todo): (SyncSender<Job>, Receiver<Job>) = sync_channel(MOST_WAITING);
+        let (tell, done) = sync_channel(MOST_WAITING * 2);
+        std::thread::Builder::new().name("passwords".to_string()).spawn(move || {
+            for job in todo {
+                if tell.send((job.conn, job.serial, verify(&job.password, &job.hash))).is_err() {
+                    return;
+                }
+                // A full pair wakes the loop as well.
+                let _ = (&wake).write(&[0]);
+            }
+        })?;
+        Ok(Verifier { jobs, done, woken, token })
+    }
+
+    /// Whether the token is its own.
+    pub fn is(&self, token: Token) -> bool {
+        self.token == token
+    }
+
+    /// Hands a password over; false if too many wait.
+    pub fn ask(&self, conn: Conn, serial: u32, password: Vec<u8>, hash: String) -> bool {
+        !matches!(self.jobs.try_send(Job { conn, serial, password, hash }), Err(TrySendError::Full(_)))
+    }
+
+    /// What is done by now.
+    pub fn take(&mut self) -> Vec<(Conn, u32, bool)> {
+        let mut bytes = [0; 64];
+        while matches!(self.woken.read(&mut bytes), Ok(1..)) {}
+        self.done.try_iter().collect()
+    }
+}
+
+fn verify(password: &[u8], hash: &str) -> bool {
+    PasswordHash::new(hash).is_ok_and(|hash| Argon2::default().verify_password(password, &hash).is_ok())
+}
+
+/// The hash of a password, as a users' file has it: argon2id with 4 MB and 3 passes, so that a check fits the smallest
+/// dispatcher.
+pub fn hash(password: &[u8], salt: &[u8]) -> Option<String> {
+    use argon2::{Algorithm, Params, PasswordHasher, Version};
+    let params = Params::new(4_096, 3, 1, None).ok()?;
+    let argon2 = Argon2::new(Algorithm::Argon2id, Version::V0x13, params);
+    argon2.hash_password_with_salt(password, salt).ok().map(|hash| hash.to_string())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_password_fits_its_own_hash_and_no_other() {
+        let one = hash(b"secret", b"0123456789abcdef").expect("a hash");
+        assert!(one.starts_with("$argon2id$") && verify(b"secret", &one));
+        assert!(!verify(b"Secret", &one) && !verify(b"secret", "$argon2id$") && !verify(b"", ""));
+        assert_ne!(hash(b"secret", b"0123456789abcdeX"), Some(one));
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,7 +8,7 @@
 use crate::counters::{Counters, count, most, say};
 use crate::door::{Door, Order};
 use crate::executor::{self, Pool, Report};
-use crate::front::{Intake, Invalid, Sketch, mqtt, thrift};
+use crate::front::{Intake, Invalid, Sketch, mqtt, stations, thrift};
 use crate::handover::{Handover, News, Word};
 use crate::names::{Executor, Resolver, State};
 use crate::net::{Clock, Listener, Poll, Ready, Signals, Token, Wish};
@@ -27,6 +27,7 @@
 const DOOR: u8 = 4;
 const STREAM: u8 = 5;
 const KEEPER: u8 = 6;
+const STATIONS: u8 = 7;
 /// Fronts that speak MQTT are numbered from here.
 const MQTT: u8 = 16;
 
@@ -71,6 +72,9 @@
     /// Brokers of the operator's file, and those of a version, which take their place.
     brokers: Vec<mqtt::Options>,
     streamed_brokers: Option<Vec<mqtt::Options>>,
+    /// Where stations connect, once no other process does that.
+    listen: Option<stations::Options>,
+    stations: Option<stations::Front>,
     /// Where configuration is streamed from.
     stream: Option<Stream>,
     /// Executors that the version in use leaves out.
@@ -101,6 +105,7 @@
         mut config: Config,
         brokers: Vec<mqtt::Options>,
         told: Option<&crate::config::Stream>,
+        listen: Option<stations::Options>,
     ) -> io::Result<Node> {
         let clock = Clock::start();
         let now = clock.read();
@@ -118,7 +123,8 @@
             begun = versions::begin(&mut poll, now, &mut config, (told, own), dormant, &counters)?;
         }
         let settings = config.parts.settings.clone();
-        let (bounds, pool_limits, front_limits, places) = limits(&config, &settings, handover.shared());
+        let (bounds, pool_limits, front_limits, places) =
+            limits(&config, &settings, handover.shared(), listen.as_ref().map_or(0, |l| l.connections));
         let engine = Engine::new(&settings.module, config.seed, now, bounds, counters.clone());
         let pool = Pool::new(EXECUTORS, pool_limits, counters.clone());
         let service = crate::config::SERVICE;
@@ -140,6 +146,8 @@
             thrift,
             mqtt: mqtt::Fronts::new(MQTT, counters.clone()),
             brokers,
+            listen,
+            stations: None,
             streamed_brokers: begun.brokers,
             unconfigured: config.bare && begun.stream.as_ref().is_some_and(|s| s.version().is_none()),
             stream: begun.stream,
@@ -162,6 +170,7 @@
         node.relist();
         node.open();
         node.trigger();
+        node.invite()?;
         node.settle();
         Ok(node)
     }
@@ -171,6 +180,11 @@
         self.thrift.address()
     }
 
+    /// The address that stations connect to.
+    pub fn stations(&self) -> Option<std::net::SocketAddr> {
+        self.stations.as_ref().and_then(stations::Front::address)
+    }
+
     /// The address that operators call.
     pub fn door(&self) -> Option<std::net::SocketAddr> {
         self.door.as_ref().and_then(Door::address)
@@ -198,6 +212,9 @@
             self.beside();
             self.mqtt.advance(&mut self.poll, self.now);
             self.stream_advance();
+            if let Some(front) = &mut self.stations {
+                front.advance(&mut self.poll, self.now);
+            }
             self.settle();
             if self.finished() {
                 return Ok(());
@@ -212,10 +229,11 @@
         let bans = Some(self.bans_at).filter(|_| self.handover.shared());
         let door = self.door.as_ref().map(Door::due);
         let parts = [self.engine.due(), self.pool.due(), grace, bans, door, Some(self.handover.due())];
-        let own = parts
-            .into_iter()
-            .flatten()
-            .chain([self.mqtt.due(), self.stream.as_ref().map_or(u64::MAX, Stream::due)]);
+        let own = parts.into_iter().flatten().chain([
+            self.mqtt.due(),
+            self.stream.as_ref().map_or(u64::MAX, Stream::due),
+            self.stations.as_ref().map_or(u64::MAX, stations::Front::due),
+        ]);
         own.min().unwrap_or(u64::MAX).min(self.thrift.due()).min(self.resolver.due())
     }
 
@@ -242,6 +260,11 @@
             THRIFT => self.thrift.ready(&mut self.poll, self.now, ready),
             DOOR => self.operators(ready),
             STREAM | KEEPER => self.stream_ready(ready),
+            STATIONS => {
+                if let Some(front) = &mut self.stations {
+                    front.ready(&mut self.poll, self.now, ready);
+                }
+            }
             MQTT.. => {
                 let unix_ms = self.clock.unix_ms(self.now);
                 self.mqtt.ready(&mut self.poll, self.now, unix_ms, ready);
@@ -272,6 +295,11 @@
     /// Reads the configuration again. Danger: a faulty one must cost nothing, so that nothing of it is taken
     /// before all of it has been checked.
     fn reload(&mut self) {
+        if let Some(front) = &mut self.stations
+            && let Err(why) = front.reload(&mut self.poll, self.now)
+        {
+            warn!(instance = self.config.name, why, "the old users stay");
+        }
         let outcome = Config::from_environment(self.stream.is_some())
             .map_err(|e| e.to_string())
             .and_then(|c| self.adopt(c));
@@ -322,7 +350,8 @@
     /// Has all parts go by the settings, and by whether another process shares the limits.
     fn apply(&mut self, fresh: &[usize]) {
         let shared = self.handover.shared();
-        let (bounds, pool_limits, front_limits, _) = limits(&self.config, &self.settings, shared);
+        let (bounds, pool_limits, front_limits, _) =
+            limits(&self.config, &self.settings, shared, self.listen.as_ref().map_or(0, |l| l.connections));
         let mut module = self.settings.module.clone();
         // The ration of orders passes to the successor with all that counts against it; one that was told
         // nothing orders nothing while the other process may.
@@ -366,6 +395,16 @@
         }
     }
 
+    /// Has stations connect here. Danger: the address is one process's at a time.
+    fn invite(&mut self) -> io::Result<()> {
+        if !self.handover.shared() && self.stations.is_none() && self.draining.is_none() {
+            let front =
+                |options| stations::Front::new(&mut self.poll, STATIONS, options, self.counters.clone());
+            self.stations = self.listen.clone().map(front).transpose()?;
+        }
+        Ok(())
+    }
+
     // ---- Operators ----
 
     /// Whether this process serves, knows whom to send to, and nothing is still to be handed over to it.
@@ -492,6 +531,9 @@
                 self.open();
                 self.stream_take_over();
                 self.trigger();
+                if let Err(reason) = self.invite() {
+                    warn!(instance = self.config.name, %reason, "stations can't connect here");
+                }
                 self.obey();
             }
         }
@@ -554,6 +596,9 @@
         loop {
             let mut intake = std::mem::take(&mut self.thrift.intake);
             self.mqtt.take_intake(&mut intake);
+            if let Some(front) = &mut self.stations {
+                intake.append(&mut front.intake);
+            }
             let reports = std::mem::take(&mut self.pool.reports);
             if intake.is_empty() && reports.is_empty() && self.engine.commands.is_empty() {
                 return;
@@ -597,6 +642,8 @@
             Command::Answer { ticket, answer } => {
                 if self.mqtt.has(ticket.front) {
                     self.mqtt.answer(poll, now, ticket, answer);
+                } else if let Some(front) = self.stations.as_mut().filter(|_| ticket.front == STATIONS) {
+                    front.answer(poll, now, ticket, answer);
                 } else {
                     self.thrift.answer(poll, now, ticket, &answer);
                 }
@@ -607,6 +654,8 @@
     fn invalid(&mut self, ticket: Ticket, invalid: &Invalid, past: bool) {
         if self.mqtt.has(ticket.front) {
             self.mqtt.invalid(&self.poll, self.now, ticket, invalid);
+        } else if let Some(front) = self.stations.as_mut().filter(|_| ticket.front == STATIONS) {
+            front.invalid(&mut self.poll, self.now, ticket, invalid);
         } else {
             self.thrift.invalid(&self.poll, self.now, ticket, invalid, !past);
         }
@@ -631,13 +680,20 @@
             self.settle();
         }
         self.mqtt.stop();
+        if let Some(front) = &mut self.stations {
+            front.stop(&self.poll);
+        }
         let settled = self.engine.owed() == 0
             && !self.thrift.unsent()
             && self.thrift.left(self.now)
-            && self.mqtt.settled();
+            && self.mqtt.settled()
+            && self.stations.as_ref().is_none_or(stations::Front::settled);
         let over = settled || self.now >= since + PATIENCE;
         if over {
             self.mqtt.leave(&self.poll);
+            if let Some(front) = &mut self.stations {
+                front.leave(&mut self.poll, self.now);
+            }
         }
         over
     }
@@ -649,6 +705,7 @@
     config: &Config,
     settings: &Settings,
     shared: bool,
+    stations: usize,
 ) -> (Bounds, executor::Limits, thrift::Limits, usize) {
     let part = if shared { 2 } else { 1 };
     let (memory, sockets) = (config.parts.resources.memory / part, config.parts.resources.sockets / part);
@@ -657,7 +714,7 @@
     // executors are kept a quarter, many times what they need, and clients may have the rest.
     let executors = (sockets / 4).max(8);
     let places = if config.ops.is_some() { (config.parts.resources.sockets / 16).clamp(8, 32) } else { 0 };
-    let clients = sockets.saturating_sub(executors + RESERVED + places).max(8);
+    let clients = sockets.saturating_sub(executors + RESERVED + places + stations).max(8);
     let bounds = Bounds {
         attempts: settings.module.max_attempts,
         load_wait: settings.load_wait,
--- a/src/node/versions.rs
+++ b/src/node/versions.rs
@@ -91,7 +91,9 @@
         let usage = Usage {
             classes: names.collect(),
             requests: self.engine.owed(),
-            descriptors: self.thrift.connections() + self.pool.connections(),
+            descriptors: self.thrift.connections()
+                + self.pool.connections()
+                + self.stations.as_ref().map_or(0, crate::front::stations::Front::connections),
             held: self.engine.held_bytes(),
         };
         let platform = if self.config.bare { None } else { Parts::read(self.config.told()).ok() };
--- a/tests/schema.rs
+++ b/tests/schema.rs
@@ -94,7 +94,12 @@
 fn operators_files_pass_and_fail_in_both() {
     let schema = Operator::schema();
     let read = |text: &str| Operator::read(text).map(drop);
-    for text in [include_str!("../deploy/operator.toml"), include_str!("../deploy/control.toml"), ""] {
+    for text in [
+        include_str!("../deploy/operator.toml"),
+        include_str!("../deploy/control.toml"),
+        include_str!("../deploy/stations.toml"),
+        "",
+    ] {
         agree(&schema, &toml(text), &read(text), true);
     }
     let broken = [
@@ -107,6 +112,8 @@
         "[control.stream]\nservices = []",
         "[control.stream]\nservices = [\"127.0.0.1:1\"]\nlabels = { hall = 3 }",
         "[control.service]\nlisten = \"127.0.0.1:1\"",
+        "[stations]\nlisten = \"127.0.0.1:1\"",
+        "[stations]\nlisten = \"127.0.0.1:1\"\nusers = \"u\"\nreceive_maximum = 0",
         "[control.service]\nlisten = \"127.0.0.1:1\"\nstore = \"s\"\nrollout = { waves = [\"all\"] }",
     ];
     for text in broken {
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -5,5 +5,6 @@
 mod mqtt;
 mod operators;
 mod stand;
+mod stations;
 mod thrift;
 mod versions;
--- a/tests/sockets/stand.rs
+++ b/tests/sockets/stand.rs
@@ -46,6 +46,8 @@
     pub path: PathBuf,
     /// Where it answers operators.
     pub door: Option<SocketAddr>,
+    /// Where it takes stations.
+    pub stations: Option<SocketAddr>,
     lines: Receiver<String>,
 }
 
@@ -60,6 +62,13 @@
         Program::spawn(command, config)
     }
 
+    /// One that takes stations, and where.
+    pub fn run_with_stations(words: &[&str], config: &Value) -> (Program, SocketAddr) {
+        let program = Program::run(words, config);
+        let stations = program.stations.expect("it takes stations");
+        (program, stations)
+    }
+
     /// With so many descriptors and no more.
     pub fn limited(descriptors: u32, config: &Value) -> Program {
         let mut command = Command::new("/bin/sh");
@@ -106,12 +115,16 @@
         std::thread::spawn(move || stdout.lines().map_while(Result::ok).try_for_each(|line| tell.send(line)));
         let address = |line: &str| line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
         let mut first = lines.recv_timeout(PATIENCE).expect("a first line");
-        let mut door = None;
+        let (mut door, mut stations) = (None, None);
         if first.contains("answers operators") {
             door = Some(address(&first));
             first = lines.recv_timeout(PATIENCE).expect("a line");
         }
-        Program { child, address: address(&first), path, door, lines }
+        if first.contains("takes stations") {
+            stations = Some(address(&first));
+            first = lines.recv_timeout(PATIENCE).expect("a line");
+        }
+        Program { child, address: address(&first), path, door, stations, lines }
     }
 
     /// Calls the door; the status of its answer.
--- /dev/null
+++ b/tests/sockets/stations.rs
@@ -0,0 +1,378 @@
+//! Stations that connect to the dispatcher itself, as processes see them: sockets that break, bytes that are bent, a
+//! dispatcher that is stopped or killed.
+
+use crate::stand::{Executor, Names, PATIENCE, Program, config, file};
+use ochreward_mqtt::packet::{Ack, Closing, Connect, Packet, Publish, Subscribe, Subscription, decode};
+use ochreward_mqtt::{Properties, Qos, Reason, Version};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::time::Instant;
+
+const MOST: usize = 1 << 20;
+
+struct Bed {
+    executor: Executor,
+    _names: Names,
+    program: Program,
+    stations: SocketAddr,
+    users: PathBuf,
+    operator: String,
+    told: serde_json::Value,
+}
+
+fn users(more: &str) -> String {
+    let hash = ochreward::front::stations::hash(b"secret", b"0123456789abcdef").expect("a hash");
+    format!(
+        "[user.east]\npassword = \"{hash}\"\npublish = [\"in/{{client}}/#\"]\nsubscribe = [\"out/{{client}}/#\"]\n{more}"
+    )
+}
+
+fn start(operator: &str, told: &serde_json::Value) -> (Program, SocketAddr) {
+    Program::run_with_stations(&["run", "--operator", operator], told)
+}
+
+impl Bed {
+    fn new(more: &str) -> Bed {
+        let (executor, names) = (Executor::start(), Names::start());
+        names.set(2, &[("s0", executor.address, 0)]);
+        let users = file(&users(more));
+        let listen = crate::agent::own();
+        let text = format!(
+            "[stations]\nlisten = \"{listen}\"\nusers = {:?}\nreceive_maximum = 4\nmaximum_packet = 20000\n",
+            users.display().to_string()
+        );
+        let operator = file(&text).display().to_string();
+        let told = config(&[&executor], &names);
+        let (program, stations) = start(&operator, &told);
+        Bed { executor, _names: names, program, stations, users, operator, told }
+    }
+}
+
+struct Station {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Station {
+    fn open(to: SocketAddr) -> Station {
+        let stream = TcpStream::connect(to).expect("a connection");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        stream.set_nodelay(true).expect("set");
+        Station { stream, buffer: Vec::new() }
+    }
+
+    /// Connects as this client; whether its session was there, or why it was turned away.
+    fn connect(to: SocketAddr, client: &str, password: &str) -> (Station, Result<bool, Reason>) {
+        let mut station = Station::open(to);
+        let properties = Properties { session_expiry: Some(600), ..Properties::default() };
+        station.send(&Packet::Connect(Box::new(Connect {
+            version: Version::V5,
+            clean_start: false,
+            keep_alive: 30,
+            properties,
+            client_id: client.into(),
+            will: None,
+            user: Some("east".into()),
+            password: Some(password.into()),
+        })));
+        let Some(Packet::Connack(connack)) = station.receive() else { panic!("no CONNACK") };
+        let result = if connack.reason.failed() { Err(connack.reason) } else { Ok(connack.session_present) };
+        (station, result)
+    }
+
+    fn send(&mut self, packet: &Packet) {
+        let bytes = packet.encode(Version::V5, MOST).expect("written");
+        self.stream.write_all(&bytes).expect("sent");
+    }
+
+    /// The next packet; none once the connection has ended.
+    fn receive(&mut self) -> Option<Packet> {
+        loop {
+            if let Some((packet, size)) = decode(&self.buffer, Version::V5, MOST).expect("a good packet") {
+                self.buffer.drain(..size);
+                return Some(packet);
+            }
+            let mut bytes = [0; 4096];
+            match self.stream.read(&mut bytes) {
+                Ok(count @ 1..) => self.buffer.extend(&bytes[..count]),
+                _ => return None,
+            }
+        }
+    }
+
+    fn subscribe(&mut self, filter: &str, qos: Qos) {
+        let subscription = Subscription { filter: filter.into(), qos, ..Subscription::default() };
+        self.send(&Packet::Subscribe(Subscribe {
+            id: 1,
+            subscriptions: vec![subscription],
+            ..Subscribe::default()
+        }));
+        let Some(Packet::Suback(suback)) = self.receive() else { panic!("no SUBACK") };
+        assert!(!suback.reasons[0].failed());
+    }
+
+    fn ack(&mut self, kind: fn(Ack) -> Packet, id: u16) {
+        self.send(&kind(Ack { id, reason: Reason::Success, properties: Properties::default() }));
+    }
+}
+
+fn trigger(client: &str, id: u16, qos: Qos, class: &str, call: u64) -> Publish {
+    let pair = |n: &str, v: &str| (n.to_string(), v.to_string());
+    let mut user = vec![
+        pair("op", class),
+        pair("call", &format!("{call:016x}")),
+        pair("ttl", "20000"),
+        pair("org", "acme"),
+        pair("row", "7f3a9c21e0b4d655"),
+    ];
+    if class == "level-log" {
+        user.push(pair("dedupe", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
+    }
+    let properties = Properties {
+        user,
+        response_topic: Some(format!("out/{client}/answers")),
+        correlation: Some(call.to_be_bytes().to_vec()),
+        ..Properties::default()
+    };
+    let topic = format!("in/{client}/triggers");
+    Publish { id, qos, topic, properties, payload: b"in".to_vec(), ..Publish::default() }
+}
+
+fn publish(publish: Publish) -> Packet {
+    Packet::Publish(Box::new(publish))
+}
+
+fn status(packet: &Packet) -> Option<String> {
+    let properties = match packet {
+        Packet::Puback(ack) | Packet::Pubrec(ack) => &ack.properties,
+        Packet::Publish(publish) => &publish.properties,
+        _ => return None,
+    };
+    properties.user("status").map(str::to_string)
+}
+
+#[test]
+fn a_station_is_served_at_each_quality_of_service() {
+    let bed = Bed::new("");
+    let (mut station, session) = Station::connect(bed.stations, "st-1", "secret");
+    assert_eq!(session, Ok(false));
+    station.subscribe("out/st-1/#", Qos::ExactlyOnce);
+    // QoS 0: the answer comes on the response topic alone.
+    station.send(&publish(trigger("st-1", 0, Qos::AtMostOnce, "flow-read", 1)));
+    bed.executor.next().ok(b"one");
+    let Some(Packet::Publish(answer)) = station.receive() else { panic!("no answer") };
+    assert_eq!((&answer.payload[..], answer.qos), (&b"one"[..], Qos::ExactlyOnce));
+    assert_eq!(answer.properties.correlation, Some(1_u64.to_be_bytes().to_vec()));
+    station.ack(Packet::Pubrec, answer.id);
+    assert!(matches!(station.receive(), Some(Packet::Pubrel(a)) if a.id == answer.id));
+    station.ack(Packet::Pubcomp, answer.id);
+    // QoS 1: the acknowledgement tells the status too.
+    station.send(&publish(trigger("st-1", 7, Qos::AtLeastOnce, "level-log", 2)));
+    let mut line = bed.executor.next();
+    assert!(line.value.to_string().contains("5c0f6e1a2b3d4c59a8b7c6d5e4f30211"), "the key goes along");
+    line.ok(b"two");
+    let puback = station.receive().expect("a PUBACK");
+    assert!(
+        matches!(&puback, Packet::Puback(a) if a.id == 7) && status(&puback).as_deref() == Some("served")
+    );
+    assert!(matches!(station.receive(), Some(Packet::Publish(p)) if p.payload == b"two"));
+    // QoS 2: taken once, however often it is sent before its release.
+    let twice = trigger("st-1", 8, Qos::ExactlyOnce, "alert-send", 3);
+    station.send(&publish(twice.clone()));
+    bed.executor.next().ok(b"three");
+    let pubrec = station.receive().expect("a PUBREC");
+    assert!(
+        matches!(&pubrec, Packet::Pubrec(a) if a.id == 8) && status(&pubrec).as_deref() == Some("served")
+    );
+    assert!(matches!(station.receive(), Some(Packet::Publish(p)) if p.payload == b"three"));
+    station.send(&publish(Publish { dup: true, ..twice }));
+    assert!(matches!(station.receive(), Some(Packet::Pubrec(a)) if a.id == 8));
+    station.ack(Packet::Pubrel, 8);
+    assert!(
+        matches!(station.receive(), Some(Packet::Pubcomp(a)) if a.id == 8 && a.reason == Reason::Success)
+    );
+    station.send(&Packet::Pingreq);
+    assert_eq!(station.receive(), Some(Packet::Pingresp));
+    assert_eq!(bed.executor.left(), 0);
+    let counters = bed.program.counters();
+    assert_eq!((counters["station_triggers"], counters["station_answers"]), (3, 3));
+}
+
+#[test]
+fn passwords_policies_and_a_reload_decide_who_is_served() {
+    let bed = Bed::new("classes = [\"flow-read\"]\nclients = [\"st-*\"]");
+    assert_eq!(Station::connect(bed.stations, "st-1", "wrong").1, Err(Reason::BadLogin));
+    assert_eq!(Station::connect(bed.stations, "xx-1", "secret").1, Err(Reason::ClientIdNotValid));
+    let (mut station, _) = Station::connect(bed.stations, "st-1", "secret");
+    station.send(&publish(trigger("st-1", 1, Qos::AtLeastOnce, "alert-send", 1)));
+    assert!(matches!(station.receive(), Some(Packet::Puback(a)) if a.reason == Reason::NotAuthorized));
+    station.send(&publish(trigger("st-2", 2, Qos::AtLeastOnce, "flow-read", 2)));
+    assert!(matches!(station.receive(), Some(Packet::Puback(a)) if a.reason == Reason::NotAuthorized));
+    // A users' file with a fault changes nothing; one without the user ends its connection.
+    std::fs::write(&bed.users, "[user.east]\npassword = 7").expect("written");
+    bed.program.signal(rustix::process::Signal::HUP);
+    assert_eq!(bed.program.line(), "ochreward: the new configuration is in use");
+    station.send(&Packet::Pingreq);
+    assert_eq!(station.receive(), Some(Packet::Pingresp));
+    std::fs::write(&bed.users, "").expect("written");
+    bed.program.signal(rustix::process::Signal::HUP);
+    assert!(matches!(station.receive(), Some(Packet::Disconnect(c)) if c.reason == Reason::NotAuthorized));
+    assert_eq!(station.receive(), None);
+    assert_eq!(bed.executor.left(), 0);
+}
+
+#[test]
+fn a_connection_that_breaks_anywhere_costs_no_answer_and_runs_no_alert_twice() {
+    let bed = Bed::new("");
+    let alert = |dup| Publish { dup, ..trigger("st-1", 5, Qos::AtLeastOnce, "alert-send", 9) };
+    let (mut station, _) = Station::connect(bed.stations, "st-1", "secret");
+    station.subscribe("out/st-1/#", Qos::AtLeastOnce);
+    station.send(&publish(alert(false)));
+    let mut line = bed.executor.next();
+    drop(station);
+    let (mut station, session) = Station::connect(bed.stations, "st-1", "secret");
+    assert_eq!(session, Ok(true));
+    station.send(&publish(alert(true)));
+    drop(station);
+    // Answered while nobody is there, or just as somebody comes back.
+    line.ok(b"sent");
+    let (mut station, session) = Station::connect(bed.stations, "st-1", "secret");
+    assert_eq!(session, Ok(true));
+    station.send(&publish(alert(true)));
+    let (mut puback, mut answer) = (None, None);
+    while puback.is_none() || answer.is_none() {
+        match station.receive().expect("a packet") {
+            packet @ Packet::Puback(_) => puback = status(&packet),
+            Packet::Publish(publish) => answer = Some(publish.payload),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!((puback.as_deref(), answer.as_deref()), (Some("served"), Some(&b"sent"[..])));
+    assert_eq!(bed.executor.left(), 0);
+}
+
+#[test]
+fn after_a_kill_a_repeated_alert_is_not_run_and_what_may_run_again_is() {
+    let bed = Bed::new("");
+    let (mut station, _) = Station::connect(bed.stations, "st-1", "secret");
+    let classes = ["alert-send", "flow-read", "level-log"];
+    let of = |i: usize, dup| Publish {
+        dup,
+        ..trigger("st-1", i as u16 + 1, Qos::AtLeastOnce, classes[i], 100 + i as u64)
+    };
+    for i in 0..3 {
+        station.send(&publish(of(i, false)));
+        drop(bed.executor.next());
+    }
+    bed.program.kill();
+    let (program, stations) = start(&bed.operator, &bed.told);
+    let (mut station, session) = Station::connect(stations, "st-1", "secret");
+    assert_eq!(session, Ok(false), "sessions end with the process");
+    for i in 0..3 {
+        station.send(&publish(of(i, true)));
+    }
+    for _ in 0..2 {
+        let mut line = bed.executor.next();
+        assert!(!line.value.to_string().contains("alert-send"));
+        line.ok(b"again");
+    }
+    let told: Vec<Option<String>> = (0..3).map(|_| station.receive().as_ref().and_then(status)).collect();
+    let wanted = ["failed", "served", "served"].map(|s| Some(s.to_string()));
+    assert_eq!(told, wanted, "in the order of the messages");
+    assert_eq!(bed.executor.left(), 0);
+    drop(program);
+}
+
+#[test]
+fn a_stop_answers_what_is_under_way_refuses_the_rest_and_tells_stations() {
+    let bed = Bed::new("");
+    let (mut station, _) = Station::connect(bed.stations, "st-1", "secret");
+    station.send(&publish(trigger("st-1", 1, Qos::AtLeastOnce, "flow-read", 1)));
+    let mut line = bed.executor.next();
+    bed.program.signal(rustix::process::Signal::TERM);
+    // For as long as it goes on accepting, it serves; then it refuses at once, with a time to come back.
+    let began = Instant::now();
+    let mut id = 1;
+    let mut refused = false;
+    while !refused {
+        assert!(began.elapsed() < PATIENCE, "never refused");
+        id += 1;
+        station.send(&publish(trigger("st-1", 0, Qos::AtMostOnce, "flow-read", 100 + id)));
+        if let Some(mut served) = bed.executor.poll() {
+            served.ok(b"served");
+        }
+        refused = began.elapsed().as_millis() > 900;
+        std::thread::yield_now();
+    }
+    line.ok(b"last");
+    let packets: Vec<Packet> = std::iter::from_fn(|| station.receive()).collect();
+    let first = packets.first().expect("a PUBACK");
+    assert_eq!(status(first).as_deref(), Some("served"));
+    assert!(matches!(packets.last(), Some(Packet::Disconnect(c)) if c.reason == Reason::ServerShuttingDown));
+    let Bed { mut program, .. } = bed;
+    assert_eq!(program.child.wait().expect("an end").code(), Some(0));
+}
+
+#[test]
+fn bent_bytes_end_one_connection_with_the_reason_and_cost_others_nothing() {
+    let bed = Bed::new("");
+    let (mut good, _) = Station::connect(bed.stations, "st-good", "secret");
+    let bad: [(&[u8], Reason); 5] = [
+        (&[0xc1, 0], Reason::MalformedPacket),
+        (&[0x36, 4, 0, 1, b'a', 0], Reason::MalformedPacket),
+        (&[0x31, 4, 0, 1, b'a', 0], Reason::RetainNotSupported),
+        (&[0x30, 0xff, 0xff, 0x7f], Reason::PacketTooLarge),
+        (&[0x10, 0], Reason::MalformedPacket),
+    ];
+    for (n, (bytes, reason)) in bad.into_iter().enumerate() {
+        let (mut station, _) = Station::connect(bed.stations, &format!("st-{n}"), "secret");
+        station.stream.write_all(bytes).expect("sent");
+        let Some(Packet::Disconnect(Closing { reason: told, .. })) = station.receive() else {
+            panic!("no DISCONNECT for {bytes:x?}")
+        };
+        assert_eq!(told, reason, "{bytes:x?}");
+        assert_eq!(station.receive(), None);
+    }
+    // More unsettled messages than were allowed.
+    let (mut station, _) = Station::connect(bed.stations, "st-many", "secret");
+    for id in 1..=5 {
+        station.send(&publish(trigger("st-many", id, Qos::AtLeastOnce, "flow-read", 50 + u64::from(id))));
+    }
+    assert!(
+        matches!(station.receive(), Some(Packet::Disconnect(c)) if c.reason == Reason::ReceiveMaximumExceeded)
+    );
+    // Random bytes, the same ones every time, ahead of any CONNECT.
+    let mut random = 0x1234_5678_9abc_def1_u64;
+    for _ in 0..50 {
+        let bytes: Vec<u8> = (0..64)
+            .map(|_| {
+                random ^= random << 13;
+                random ^= random >> 7;
+                random ^= random << 17;
+                random as u8
+            })
+            .collect();
+        let mut station = Station::open(bed.stations);
+        let _ = station.stream.write_all(&bytes);
+        let _ = station.stream.shutdown(std::net::Shutdown::Write);
+        let mut rest = Vec::new();
+        let _ = station.stream.read_to_end(&mut rest);
+    }
+    // One that sends a byte at a time is served like any other.
+    let bytes = publish(trigger("st-good", 1, Qos::AtLeastOnce, "flow-read", 1)).encode(Version::V5, MOST);
+    for byte in bytes.expect("written") {
+        good.stream.write_all(&[byte]).expect("sent");
+    }
+    // Those of the one that went too far are served as well; nobody takes their answers.
+    good.stream.set_nonblocking(true).expect("set");
+    let began = Instant::now();
+    while good.stream.peek(&mut [0]).is_err() {
+        assert!(began.elapsed() < PATIENCE, "never served");
+        if let Some(mut line) = bed.executor.poll() {
+            line.ok(b"slow");
+        }
+    }
+    good.stream.set_nonblocking(false).expect("set");
+    assert_eq!(good.receive().as_ref().and_then(status).as_deref(), Some("served"));
+}
