Stations: a kill at every step, for each class at QoS 1 and 2

Need: whatever step a dispatcher dies at, a message has one final answer and no alert runs twice. Change: a test that kills the dispatcher when a message was sent, is at the executor, was answered, and was acknowledged, restarts it and sends again; the test of bent bytes waits until what was taken is answered, since its last trigger could be refused beside four that waited.

--- a/tests/sockets/stations.rs
+++ b/tests/sockets/stations.rs
@@ -284,6 +284,87 @@
     drop(program);
 }
 
+/// How far a message has come when the dispatcher is killed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Step {
+    Sent,
+    AtTheExecutor,
+    Answered,
+    Acknowledged,
+}
+
+#[test]
+fn killed_at_every_step_each_message_has_one_final_answer_and_no_alert_runs_twice() {
+    let bed = Bed::new("");
+    let Bed { executor, operator, told, mut program, mut stations, .. } = bed;
+    let steps = [Step::Sent, Step::AtTheExecutor, Step::Answered, Step::Acknowledged];
+    let (mut kills, mut finals, mut call) = (0, 0, 0x7000);
+    for class in ["alert-send", "level-log", "flow-read"] {
+        for qos in [Qos::AtLeastOnce, Qos::ExactlyOnce] {
+            for step in steps {
+                call += 1;
+                // A client of its own: a number of QoS 2 stays in use until it is released.
+                let client = format!("st-{call}");
+                let of = |dup| Publish { dup, ..trigger(&client, 1, qos, class, call) };
+                let (mut station, _) = Station::connect(stations, &client, "secret");
+                station.send(&publish(of(false)));
+                let (mut runs, mut answers) = (0, Vec::new());
+                if step != Step::Sent {
+                    let mut line = executor.next();
+                    runs += 1;
+                    if step != Step::AtTheExecutor {
+                        line.ok(b"done");
+                    }
+                }
+                if step == Step::Acknowledged {
+                    answers.push(station.receive().as_ref().and_then(status).expect("a status"));
+                }
+                program.kill();
+                kills += 1;
+                // What reached the station before the kill counts as well.
+                if step == Step::Answered {
+                    answers.extend(station.receive().as_ref().and_then(status));
+                }
+                (program, stations) = start(&operator, &told);
+                let (mut station, session) = Station::connect(stations, &client, "secret");
+                assert_eq!(session, Ok(false));
+                if answers.is_empty() {
+                    station.send(&publish(of(true)));
+                    station.stream.set_nonblocking(true).expect("set");
+                    let began = Instant::now();
+                    while station.stream.peek(&mut [0]).is_err() {
+                        assert!(began.elapsed() < PATIENCE, "never answered: {class} {qos:?} {step:?}");
+                        if let Some(mut line) = executor.poll() {
+                            runs += 1;
+                            let key = line.value.to_string().contains("5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+                            assert_eq!(
+                                key,
+                                class == "level-log",
+                                "the key goes along, and only where it belongs"
+                            );
+                            line.ok(b"again");
+                        }
+                    }
+                    station.stream.set_nonblocking(false).expect("set");
+                    answers.extend(station.receive().as_ref().and_then(status));
+                }
+                // Sent by the first process, and read only now.
+                runs += executor.left();
+                let [answer] = &answers[..] else { panic!("{answers:?}: {class} {qos:?} {step:?}") };
+                finals += 1;
+                if class == "alert-send" {
+                    assert!(runs <= 1, "{runs} runs of an alert: {qos:?} {step:?}");
+                    let unrun = answer == "failed";
+                    assert!(unrun || answer == "served", "{answer}: {qos:?} {step:?}");
+                } else {
+                    assert_eq!(answer, "served", "{class} {qos:?} {step:?}");
+                }
+            }
+        }
+    }
+    assert_eq!((kills, finals), (24, 24));
+}
+
 #[test]
 fn a_stop_answers_what_is_under_way_refuses_the_rest_and_tells_stations() {
     let bed = Bed::new("");
@@ -342,6 +423,19 @@
     assert!(
         matches!(station.receive(), Some(Packet::Disconnect(c)) if c.reason == Reason::ReceiveMaximumExceeded)
     );
+    // What was taken of it is answered all the same, to nobody; and room is made for the others.
+    let began = Instant::now();
+    loop {
+        assert!(began.elapsed() < PATIENCE, "never answered");
+        if let Some(mut line) = bed.executor.poll() {
+            line.ok(b"");
+        }
+        let c = bed.program.counters();
+        let answers = c["answers_served"] + c["answers_refused"] + c["answers_failed"];
+        if c["requests_taken"] > 0 && c["requests_taken"] == answers {
+            break;
+        }
+    }
     // Random bytes, the same ones every time, ahead of any CONNECT.
     let mut random = 0x1234_5678_9abc_def1_u64;
     for _ in 0..50 {
@@ -364,7 +458,6 @@
     for byte in bytes.expect("written") {
         good.stream.write_all(&[byte]).expect("sent");
     }
-    // Those of the one that went too far are served as well; nobody takes their answers.
     good.stream.set_nonblocking(true).expect("set");
     let began = Instant::now();
     while good.stream.peek(&mut [0]).is_err() {
