One worker thread for versions and passwords, one rollout plan; stations are swept, not scanned each turn

The stations' front looked through all sessions and connections in every turn of the loop. Change: crates/net has the worker; config reads ochreward_control's Plan; steps are carried out in one place; silence, wills and ends of sessions are looked for every 50 ms. No speed was measured anew.

--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -20,6 +20,13 @@
     pub watch: u64,
 }
 
+impl Default for Plan {
+    /// A quarter, then all; 10 s to answer, 15 s of watch.
+    fn default() -> Plan {
+        Plan { canary: None, waves: vec![0.25, 1.0], answer: 10_000_000, watch: 15_000_000 }
+    }
+}
+
 /// Where a rollout stands.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Phase {
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -228,7 +228,7 @@
                 if let Some(e) = self.broken.take() {
                     return Err(e.into());
                 }
-                self.carry(time)?;
+                self.carry()?;
             }
             if time.us >= self.beat_at {
                 self.beat_at = time.us + self.options.heartbeat;
@@ -236,7 +236,7 @@
                 self.close_silent(time);
             }
             self.service.advance(time);
-            self.carry(time)?;
+            self.carry()?;
             if self.log.wants_compaction() {
                 self.log.compact(&self.service.condensed())?;
                 info!("the log was compacted");
@@ -337,7 +337,7 @@
 
     /// Writes down what was decided, and then does it. Danger: without its records nothing may be done; a disk that
     /// fails ends the service, which a restart brings back to what was written.
-    fn carry(&mut self, time: Now) -> io::Result<()> {
+    fn carry(&mut self) -> io::Result<()> {
         loop {
             let (records, acts) = self.service.flush();
             if records.is_empty() && acts.is_empty() {
@@ -345,12 +345,12 @@
             }
             self.log.append(&records)?;
             for act in acts {
-                self.act(time, act);
+                self.act(act);
             }
         }
     }
 
-    fn act(&mut self, _time: Now, act: Act) {
+    fn act(&mut self, act: Act) {
         match act {
             Act::Send(slot, message) => {
                 let Some(peer) = self.peers.get_mut(slot) else { return };
@@ -477,7 +477,7 @@
             },
         };
         // Danger: a yes must not be told before it is written down.
-        if let Err(e) = self.carry(time) {
+        if let Err(e) = self.carry() {
             self.broken = Some(e);
             return;
         }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,6 +11,7 @@
 mod reader;
 mod ring;
 mod signals;
+mod worker;
 
 pub use clock::Clock;
 pub use link::{Callbacks, Closed, Io, Link, Malformed};
@@ -19,3 +20,4 @@
 pub use reader::Reader;
 pub use ring::Ring;
 pub use signals::{Signals, Wish};
+pub use worker::Worker;
--- a/crates/stream/src/subscriber.rs
+++ b/crates/stream/src/subscriber.rs
@@ -20,8 +20,6 @@
 
 /// Given-up versions remembered.
 const MOST_REFUSED: usize = 32;
-/// How long a connection may take to come up and be welcomed, as a part of the silence allowed.
-const COMING_UP: u64 = 1;
 
 /// What a subscriber is told at its start.
 #[derive(Clone, Debug)]
@@ -232,7 +230,7 @@
 
     /// When `advance` next has something to do.
     pub fn due(&self) -> u64 {
-        let silent = |since: u64| since + self.options.silence * COMING_UP;
+        let silent = |since: u64| since + self.options.silence;
         let link = match self.link {
             Link::Down { at } => at,
             Link::Rising { since } => silent(since),
--- a/src/cli/control.rs
+++ b/src/cli/control.rs
@@ -4,7 +4,7 @@
 use crate::config::version;
 use crate::counters::say;
 use clap::Subcommand;
-use ochreward_control::{Options, Plan, Server, cli};
+use ochreward_control::{Options, Server, cli};
 use ochreward_stream::wire::Fault;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -60,15 +60,7 @@
     let told = operator.control.and_then(|c| c.service);
     let missing =
         |what: &str| Error::Io(format!("{what} is missing"), std::io::ErrorKind::InvalidInput.into());
-    let plan = match &told {
-        Some(told) => Plan {
-            canary: told.rollout.canary.clone(),
-            waves: told.rollout.waves.clone(),
-            answer: told.rollout.answer,
-            watch: told.rollout.watch,
-        },
-        None => Plan { canary: None, waves: vec![0.25, 1.0], answer: 10_000_000, watch: 15_000_000 },
-    };
+    let plan = told.as_ref().map(|t| t.rollout.clone()).unwrap_or_default();
     let options = Options {
         listen: listen.or(told.as_ref().map(|t| t.listen)).ok_or_else(|| missing("--listen"))?,
         store: store.or(told.as_ref().map(|t| t.store.clone())).ok_or_else(|| missing("--store"))?,
--- a/src/config/control.rs
+++ b/src/config/control.rs
@@ -2,6 +2,7 @@
 //! of such a fleet is told.
 
 use super::keys::Key;
+use ochreward_control::Plan;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -39,20 +40,7 @@
     /// The time between two signs of life, in microseconds.
     pub heartbeat: u64,
     /// How a version is rolled out.
-    pub rollout: Rollout,
-}
-
-/// How a version is rolled out.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Rollout {
-    /// The first wave: instances with this label and value.
-    pub canary: Option<(String, String)>,
-    /// Shares of the rest, one a wave, rising to 1.
-    pub waves: Vec<f64>,
-    /// All of a wave must have answered within this time, in microseconds.
-    pub answer: u64,
-    /// A wave is watched this long after its last answer, in microseconds.
-    pub watch: u64,
+    pub rollout: Plan,
 }
 
 /// Both ends of the stream.
@@ -108,20 +96,21 @@
     }
 }
 
-fn rollout(key: &Key) -> Rollout {
+fn rollout(key: &Key) -> Plan {
     key.given();
     key.only(&["canary", "waves", "answer_ms", "watch_ms"]);
+    let usual = Plan::default();
     let canary = key.get("canary");
     let pair = canary.optional(|k| k.text().split_once('=').map(|(l, v)| (l.to_string(), v.to_string())));
     canary.must(pair != Some(None), "a label and its value are wanted, such as role=canary");
     let listed: Vec<f64> = key.get("waves").entries().iter().map(Key::number).collect();
-    let waves = if listed.is_empty() { vec![0.25, 1.0] } else { listed };
+    let waves = if listed.is_empty() { usual.waves } else { listed };
     let rising = waves.windows(2).all(|w| w[0] < w[1]) && waves.first().is_some_and(|w| *w > 0.0);
     key.get("waves").must(rising && waves.last() == Some(&1.0), "shares that rise to 1 are wanted");
-    Rollout {
+    Plan {
         canary: pair.flatten(),
         waves,
-        answer: key.get("answer_ms").between(10, 3_600_000, 10_000) * 1000,
-        watch: key.get("watch_ms").between(0, 3_600_000, 15_000) * 1000,
+        answer: key.get("answer_ms").between(10, 3_600_000, usual.answer / 1000) * 1000,
+        watch: key.get("watch_ms").between(0, 3_600_000, usual.watch / 1000) * 1000,
     }
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -7,7 +7,7 @@
 mod settings;
 pub mod version;
 
-pub use control::{Control, Rollout, Service, Stream};
+pub use control::{Control, Service, Stream};
 pub use keys::{Error, Faults, Key};
 pub use operator::{Agent, Instance, Operator};
 pub use settings::{Config, DRAIN_GRACE, Parts, Resources, SERVICE, Settings};
--- a/src/front/stations/front.rs
+++ b/src/front/stations/front.rs
@@ -17,8 +17,7 @@
 
 /// Bytes that may wait for a station; one that takes less is dropped, and its session waits for it.
 const OUT: usize = 512 * 1024;
-/// Places of the listener and the verifier among the tokens; connections begin behind them.
-const LISTENER: usize = 0;
+/// The place of the verifier among the tokens, behind the listener's; connections come after it.
 const VERIFIER: usize = 1;
 const FIRST: usize = 2;
 /// Connections accepted in a turn, and how long accepting rests without room, in microseconds.
@@ -27,6 +26,9 @@
 /// How long a connection that was told to go may take to do so, in microseconds.
 const LINGER: u64 = 1_000_000;
 
+/// How often silence, wills and the ends of sessions are looked for: not every turn, since all are looked through.
+const SWEEP: u64 = 50_000;
+
 /// What the operator's file says of stations.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Options {
@@ -96,6 +98,7 @@
     sessions: Sessions,
     verifier: Verifier,
     paused_until: Option<u64>,
+    next_sweep: u64,
     packets: Vec<Packet>,
     counters: Rc<Counters>,
     /// What stations asked, in order.
@@ -122,6 +125,7 @@
             stations: Slab::new(),
             verifier,
             paused_until: None,
+            next_sweep: 0,
             packets: Vec::new(),
             counters,
             intake: Vec::new(),
@@ -232,7 +236,7 @@
             (&c.station_answers_lost, counts.lost),
             (&c.station_violations, counts.violations),
             (&c.station_refused, counts.refused),
-            (&c.station_sessions, self.sessions.count().0 as u64),
+            (&c.station_sessions, self.sessions.len() as u64),
         ];
         cells.into_iter().for_each(|(cell, count)| cell.set(count));
     }
@@ -290,6 +294,10 @@
             }
             self.accept(poll, now);
         }
+        if now < self.next_sweep {
+            return;
+        }
+        self.next_sweep = now + SWEEP;
         self.sessions.advance(now);
         self.carry(poll, now);
         let over = |s: &Station| s.ended.is_some_and(|at| now >= at + LINGER);
@@ -299,9 +307,9 @@
 
     /// When `advance` next has something to do.
     pub fn due(&self) -> u64 {
-        let ended = self.stations.iter().filter_map(|(_, s)| s.ended.map(|at| at + LINGER)).min();
-        let times = [Some(self.sessions.due()), ended, self.paused_until];
-        times.into_iter().flatten().min().unwrap_or(u64::MAX)
+        let idle = self.stations.is_empty() && self.sessions.is_empty();
+        let sweep = if idle { u64::MAX } else { self.next_sweep };
+        sweep.min(self.paused_until.unwrap_or(u64::MAX))
     }
 
     /// Takes nothing more; what was taken is still answered.
@@ -328,6 +336,3 @@
         self.stations.len()
     }
 }
-
-/// The place of the listener's token; the listener takes the first by itself.
-const _: () = assert!(LISTENER == 0 && FIRST > VERIFIER);
--- a/src/front/stations/sessions.rs
+++ b/src/front/stations/sessions.rs
@@ -192,6 +192,16 @@
         self.requests.len()
     }
 
+    /// Sessions.
+    pub fn len(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.sessions.is_empty()
+    }
+
     /// Sessions, and connected ones.
     pub fn count(&self) -> (usize, usize) {
         (self.sessions.len(), self.sessions.values().filter(|s| s.conn.is_some()).count())
--- a/src/front/stations/verifier.rs
+++ b/src/front/stations/verifier.rs
@@ -2,11 +2,9 @@
 //! is woken when one is done.
 
 use super::sessions::Conn;
-use crate::net::{Interest, Poll, Token};
+use crate::net::{Poll, Token, Worker};
 use argon2::{Argon2, PasswordHash, PasswordVerifier};
-use std::io::{self, Read, Write};
-use std::os::unix::net::UnixStream;
-use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::io;
 
 /// Passwords that may wait; more are turned down, and their stations come back.
 const MOST_WAITING: usize = 256;
@@ -20,50 +18,32 @@
 }
 
 /// The loop's side of the thread.
-pub struct Verifier {
-    jobs: SyncSender<Job>,
-    done: Receiver<(Conn, u32, bool)>,
-    woken: UnixStream,
-    token: Token,
-}
+pub struct Verifier(Worker<Job, (Conn, u32, bool)>);
 
 impl Verifier {
-    /// Starts the thread. It ends with the loop's side.
+    /// Starts the thread.
     pub fn start(poll: &mut Poll, owner: u8, slot: usize) -> io::Result<Verifier> {
-        let (woken, wake) = UnixStream::pair()?;
-        woken.set_nonblocking(true)?;
-        wake.set_nonblocking(true)?;
-        let token = poll.token(owner, slot);
-        poll.add(&woken, token, Interest { read: true, write: false })?;
-        let (jobs, todo): (SyncSender<Job>, Receiver<Job>) = sync_channel(MOST_WAITING);
-        let (tell, done) = sync_channel(MOST_WAITING * 2);
-        std::thread::Builder::new().name("passwords".to_string()).spawn(move || {
-            for job in todo {
-                if tell.send((job.conn, job.serial, verify(&job.password, &job.hash))).is_err() {
-                    return;
-                }
-                // A full pair wakes the loop as well.
-                let _ = (&wake).write(&[0]);
-            }
-        })?;
-        Ok(Verifier { jobs, done, woken, token })
+        let work = |job: Job| Some((job.conn, job.serial, verify(&job.password, &job.hash)));
+        Worker::start(poll, (owner, slot), "passwords", work).map(Verifier)
     }
 
     /// Whether the token is its own.
     pub fn is(&self, token: Token) -> bool {
-        self.token == token
+        self.0.is(token)
     }
 
     /// Hands a password over; false if too many wait.
     pub fn ask(&self, conn: Conn, serial: u32, password: Vec<u8>, hash: String) -> bool {
-        !matches!(self.jobs.try_send(Job { conn, serial, password, hash }), Err(TrySendError::Full(_)))
+        let room = self.0.waiting() < MOST_WAITING;
+        if room {
+            self.0.ask(Job { conn, serial, password, hash });
+        }
+        room
     }
 
     /// What is done by now.
     pub fn take(&mut self) -> Vec<(Conn, u32, bool)> {
-        let mut bytes = [0; 64];
-        while matches!(self.woken.read(&mut bytes), Ok(1..)) {}
-        self.done.try_iter().collect()
+        self.0.take()
     }
 }
 
--- a/src/node/versions.rs
+++ b/src/node/versions.rs
@@ -126,7 +126,7 @@
                             stream.check(ticket, snapshot, grounds);
                         }
                     }
-                    News::Apply(ticket, _, effective) => {
+                    News::Apply(ticket, effective) => {
                         // What is in use may have changed since the check.
                         let broken = rules::broken(&self.grounds(), &effective.parts);
                         let result = if broken.is_empty() { Ok(()) } else { Err((Code::Invalid, broken)) };
--- a/src/versions/keeper.rs
+++ b/src/versions/keeper.rs
@@ -3,16 +3,14 @@
 
 use super::rules::{self, Grounds};
 use crate::config::version::{Effective, effective};
-use crate::net::{Interest, Poll, Token};
+use crate::net::{Poll, Worker};
 use ochreward_stream::last_good::LastGood;
 use ochreward_stream::subscriber::Ticket;
 use ochreward_stream::wire::{Code, Fault};
 use ochreward_stream::{Memory, Snapshot, Version};
 use serde_json::Value;
-use std::io::{self, Read, Write};
-use std::os::unix::net::UnixStream;
+use std::io;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, Sender, channel};
 
 /// What is to be done.
 pub enum Job {
@@ -40,54 +38,11 @@
 }
 
 /// The loop's side of the thread.
-pub struct Keeper {
-    jobs: Sender<Job>,
-    done: Receiver<Done>,
-    woken: UnixStream,
-    token: Token,
-}
+pub type Keeper = Worker<Job, Done>;
 
-impl Keeper {
-    /// Starts the thread. It ends with the loop's side.
-    pub fn start(poll: &mut Poll, owner: u8, files: Option<LastGood>) -> io::Result<Keeper> {
-        let (woken, wake) = UnixStream::pair()?;
-        woken.set_nonblocking(true)?;
-        wake.set_nonblocking(true)?;
-        let token = poll.token(owner, 0);
-        poll.add(&woken, token, Interest { read: true, write: false })?;
-        let (jobs, todo) = channel();
-        let (tell, done) = channel();
-        std::thread::Builder::new().name("versions".to_string()).spawn(move || {
-            for job in todo {
-                if let Some(done) = work(files.as_ref(), job) {
-                    if tell.send(done).is_err() {
-                        return;
-                    }
-                    // A full pair wakes the loop as well.
-                    let _ = (&wake).write(&[0]);
-                }
-            }
-        })?;
-        Ok(Keeper { jobs, done, woken, token })
-    }
-
-    /// Whether the token is its own.
-    pub fn is(&self, token: Token) -> bool {
-        self.token == token
-    }
-
-    /// Hands a job over.
-    pub fn ask(&self, job: Job) {
-        // The thread ends only after this side.
-        let _ = self.jobs.send(job);
-    }
-
-    /// What is done by now.
-    pub fn take(&mut self) -> Vec<Done> {
-        let mut bytes = [0; 64];
-        while matches!(self.woken.read(&mut bytes), Ok(1..)) {}
-        self.done.try_iter().collect()
-    }
+/// Starts the thread.
+pub fn start(poll: &mut Poll, owner: u8, files: Option<LastGood>) -> io::Result<Keeper> {
+    Worker::start(poll, (owner, 0), "versions", move |job| work(files.as_ref(), job))
 }
 
 fn work(files: Option<&LastGood>, job: Job) -> Option<Done> {
--- a/src/versions/stream.rs
+++ b/src/versions/stream.rs
@@ -1,7 +1,7 @@
 //! The connection to the control service, and the subscriber behind it. It carries the subscriber's steps out, but for
 //! those that change what runs: these are the program's to do, as [`News`].
 
-use super::keeper::{Done, Job, Keeper};
+use super::keeper::{self, Done, Job, Keeper};
 use super::rules::Grounds;
 use crate::config::{Stream as Told, version::Effective};
 use crate::counters::{Counters, count};
@@ -51,7 +51,7 @@
     /// Say how things stand, by `check`: a version has come.
     Check(Ticket, Arc<Snapshot>),
     /// Hold a version against the rules, as things stand now, and take it into use; then say so by `applied`.
-    Apply(Ticket, Arc<Snapshot>, Box<Effective>),
+    Apply(Ticket, Box<Effective>),
     /// Go back to this, whatever stands against it.
     Return(Box<Effective>),
 }
@@ -89,7 +89,8 @@
     /// The files as they were last read, while dormant.
     seen: Vec<Option<(SystemTime, u64)>>,
     folder: Option<PathBuf>,
-    ready: VecDeque<(Ticket, Arc<Snapshot>, Box<Effective>)>,
+    /// Versions that were checked, as they were read; applied in this order.
+    ready: VecDeque<(Ticket, Box<Effective>)>,
     said: Vec<FromService>,
     /// The instance's own file, as it stands.
     told: Arc<Value>,
@@ -102,7 +103,7 @@
     /// Reads what is kept, and starts the thread; the version to run, if there is one.
     pub fn new(
         poll: &mut Poll,
-        (owner, keeper): (u8, u8),
+        (owner, keeper_owner): (u8, u8),
         now: u64,
         start: Start,
         counters: Rc<Counters>,
@@ -153,7 +154,7 @@
         let running = loaded.snapshot.map(|(snapshot, _)| snapshot);
         let good = files.as_ref().and_then(|f| f.load().snapshot).map(|(s, _)| s);
         let subscriber = Subscriber::new(options.clone(), now, memory, running.clone(), good);
-        let keeper = Keeper::start(poll, keeper, files.clone())?;
+        let keeper = keeper::start(poll, keeper_owner, files.clone())?;
         let mut stream = Stream {
             options,
             subscriber,
@@ -262,8 +263,8 @@
                 Done::Checked(ticket, snapshot, told, _) if !Arc::ptr_eq(&told, &self.told) => {
                     self.news.push(News::Check(ticket, snapshot));
                 }
-                Done::Checked(ticket, snapshot, _, Ok(effective)) => {
-                    self.ready.push_back((ticket, snapshot, effective));
+                Done::Checked(ticket, _, _, Ok(effective)) => {
+                    self.ready.push_back((ticket, effective));
                     self.subscriber.checked(ticket, Ok(()));
                 }
                 Done::Checked(ticket, _, _, Err(why)) => self.subscriber.checked(ticket, Err(why)),
@@ -274,21 +275,6 @@
                 Done::Unkept(what, reason) => warn!(what, %reason, "could not be kept on disk"),
             }
         }
-        let apply: Vec<Ticket> = self
-            .subscriber
-            .steps
-            .iter()
-            .filter_map(|s| if let Step::Apply(ticket, _) = s { Some(*ticket) } else { None })
-            .collect();
-        self.subscriber.steps.retain(|s| !matches!(s, Step::Apply(..)));
-        for ticket in apply {
-            while let Some((of, snapshot, effective)) = self.ready.pop_front() {
-                if of == ticket {
-                    self.news.push(News::Apply(ticket, snapshot, effective));
-                    break;
-                }
-            }
-        }
     }
 
     /// Says how things stand, for a version to be held against.
@@ -356,8 +342,15 @@
                     }
                 }
                 Step::Check(ticket, snapshot) => self.news.push(News::Check(ticket, snapshot)),
-                // Only what the keeper has read is applied, in `done`.
-                Step::Apply(..) => {}
+                // Only what the keeper has read is applied.
+                Step::Apply(ticket, _) => {
+                    while let Some((of, effective)) = self.ready.pop_front() {
+                        if of == ticket {
+                            self.news.push(News::Apply(ticket, effective));
+                            break;
+                        }
+                    }
+                }
                 Step::Keep(version, verdict) => {
                     let untested = verdict == Verdict::Untested;
                     info!(instance = self.options.instance, %version, untested, "a version is the last good one");
