Lists of the name service that contradict themselves or empty at once are held back

Seen: a readable answer newer than the list held replaced it whatever it said (src/names/resolver.rs, ready: told(serial) then news = Some(executors)). An empty answer emptied the dispatcher in one turn, and each request was refused until the next list; an answer naming one id at two addresses went to the pool as the last address (src/executor/pool.rs, list: collect into a map) and to the module as two entries. Ruled out: cut short answers, which the DNS reader already refuses ('cut off', 'ends early'), and older answers, which the serial check already drops.

A refused list leaves the serial as it was, so the next answer is judged anew. Counters lists_refused, lists_merged, lists_stale; one warning when a doubt begins.

--- a/src/names/resolver.rs
+++ b/src/names/resolver.rs
@@ -1,6 +1,7 @@
 //! Asks the name service for the list, over and over.
 
 use super::Executor;
+use super::check::{Checker, Verdict};
 use super::dns::{self, MOST_ANSWER};
 use crate::counters::{Counters, count};
 use crate::net::{Interest, Poll};
@@ -10,6 +11,7 @@
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::rc::Rc;
+use tracing::warn;
 
 /// A query goes out this often, whether the last was answered or not: so a lost one is replaced.
 const EVERY: u64 = 100_000;
@@ -26,6 +28,7 @@
     open: VecDeque<u16>,
     at: u64,
     serial: u64,
+    checker: Checker,
     counters: Rc<Counters>,
 }
 
@@ -42,7 +45,8 @@
         let fd = socket(poll, owner, server)?;
         let service = service.to_string();
         let (next_id, open, at) = (seed as u16, VecDeque::new(), 0);
-        Ok(Resolver { fd, owner, server, service, next_id, open, at, serial, counters })
+        let checker = Checker::default();
+        Ok(Resolver { fd, owner, server, service, next_id, open, at, serial, checker, counters })
     }
 
     /// Asks at another address from now on, and at once. The numbers carry on: a list that is older than what
@@ -93,8 +97,10 @@
         }
     }
 
-    /// Reads what has come; returns the newest list, if it is news.
-    pub fn ready(&mut self) -> Option<Vec<Executor>> {
+    /// Reads what has come; returns the newest list, if it is news and can be believed. `held` is how many
+    /// executors the list in use names. A list refused leaves the serial where it was, so that the next answer
+    /// is judged anew.
+    pub fn ready(&mut self, now: u64, held: usize) -> Option<Vec<Executor>> {
         let mut news = None;
         let mut buffer = [0; MOST_ANSWER];
         loop {
@@ -105,17 +111,40 @@
             };
             // Danger: a forged, late or doubled packet. Only an id that is out counts, and only once.
             let message = buffer.get(..size).unwrap_or_default();
-            let known = dns::id(message).and_then(|id| self.open.iter().position(|o| *o == id));
-            match (known, dns::read(message, &self.service)) {
-                (Some(place), Ok(answer)) => {
-                    self.open.remove(place);
+            let Some(place) = dns::id(message).and_then(|id| self.open.iter().position(|o| *o == id)) else {
+                count(&self.counters.dns_dropped);
+                continue;
+            };
+            self.open.remove(place);
+            let verdict = match dns::read(message, &self.service) {
+                Err(bad) => self.checker.unreadable(bad.0),
+                // Packets overtake each other: an older list must not undo a newer one.
+                Ok(answer) if u64::from(answer.serial) <= self.serial => {
+                    count(&self.counters.dns_answers);
+                    count(&self.counters.lists_stale);
+                    continue;
+                }
+                Ok(answer) => {
                     count(&self.counters.dns_answers);
-                    // Packets overtake each other: an older list must not undo a newer one.
-                    if self.told(u64::from(answer.serial)) {
-                        news = Some(answer.executors);
+                    let held = news.as_ref().map_or(held, Vec::len);
+                    let verdict = self.checker.judge(now, answer.executors, held);
+                    if matches!(verdict, Verdict::Take { .. }) {
+                        self.serial = u64::from(answer.serial);
+                    }
+                    verdict
+                }
+            };
+            match verdict {
+                Verdict::Take { executors, merged } => {
+                    self.counters.lists_merged.set(self.counters.lists_merged.get() + merged as u64);
+                    news = Some(executors);
+                }
+                Verdict::Refuse { doubt, first } => {
+                    count(&self.counters.lists_refused);
+                    if first {
+                        warn!(serial = self.serial, %doubt, "the last good list of executors stays in use");
                     }
                 }
-                _ => count(&self.counters.dns_dropped),
             }
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -249,7 +249,7 @@
     fn ready(&mut self, ready: Ready) {
         match ready.token.owner {
             NAMES => {
-                if let Some(executors) = self.resolver.ready() {
+                if let Some(executors) = self.resolver.ready(self.now, self.executors.len()) {
                     count(&self.counters.lists_applied);
                     self.executors = executors;
                     self.relist();
--- a/tests/sockets/thrift.rs
+++ b/tests/sockets/thrift.rs
@@ -258,6 +258,51 @@
     assert!(program.counters()["dns_dropped"] >= 3);
 }
 
+/// Waits until the program has refused a list of the name service at least once.
+fn until_refused(program: &Program) {
+    let began = Instant::now();
+    while program.counters()["lists_refused"] == 0 {
+        assert!(began.elapsed() < PATIENCE, "the list is never judged");
+    }
+}
+
+#[test]
+fn an_empty_list_at_once_leaves_the_last_good_one_serving() {
+    let (executor, names) = (Executor::start(), Names::start());
+    names.set(2, &[]);
+    let program = Program::start(&config(&[&executor], &names));
+    until_refused(&program);
+    // Within the hold the empty list is not believed: the request goes where the last good list says.
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    executor.next().ok(b"still");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"still".to_vec()))));
+    assert_eq!(program.counters()["lists_applied"], 0);
+}
+
+#[test]
+fn a_list_naming_one_executor_at_two_addresses_is_refused() {
+    let (listed, other, names) = (Executor::start(), Executor::start(), Names::start());
+    names.set(2, &[("s0", listed.address, 0), ("s0", other.address, 0), ("s9", other.address, 0)]);
+    let program = Program::start(&config(&[&listed], &names));
+    until_refused(&program);
+    let mut client = Client::connect(program.address);
+    for seq in 1..=4 {
+        client.serve(seq, &fields("flow-read", &id(seq as u64), LONG), b"");
+        listed.next().ok(b"listed");
+        assert_eq!(client.receive(), Some((seq, Reply::Served(b"listed".to_vec()))));
+    }
+    // Nothing went to the address or the id that only the refused list named.
+    assert_eq!(other.left(), 0);
+    // An executor said twice at one address is one executor; that list is taken.
+    names.set(3, &[("s0", listed.address, 0), ("s0", listed.address, 0)]);
+    let began = Instant::now();
+    while program.counters()["lists_merged"] == 0 {
+        assert!(began.elapsed() < PATIENCE, "the repeated entry is never merged");
+    }
+    assert_eq!(program.counters()["lists_applied"], 1);
+}
+
 #[test]
 fn a_new_id_at_the_address_of_one_that_went_gets_connections_of_its_own() {
     let (executor, names) = (Executor::start(), Names::start());
