Bench of a new list: the check is linear, the module's taking of it quadratic

The module's growth is printed, not bounded. Its causes, found by a probe not kept: in src/control.rs, list, the closure 'listed' looks through all entries for each worker (three times), and src/control/places.rs, place, looks from the first worker for a free place for each new one.

--- /dev/null
+++ b/benches/lists.rs
@@ -0,0 +1,122 @@
+//! The cost of a new list of executors: the check of what is believed, and the module's taking of it, each with every
+//! entry changed. Prints `figure value unit`; ends non-zero if the check costs more than about linearly in the list's
+//! length (per entry, 100 times the entries may cost at most 4 times as much), or if a list of 36 (the most that the
+//! standing fleet days bring) takes 1 ms or more in both together. The module's growth is printed, not bounded: it is
+//! quadratic today, and bounding it is the work of 'Routing at scale'.
+
+use ochreward::names::{Checker, Executor, State, Verdict};
+use ochreward::*;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+const MS: Micros = 1_000;
+const S: Micros = 1_000_000;
+
+fn settings() -> Settings {
+    let class = Class {
+        aim: 800 * MS,
+        deadline: 3 * S,
+        effect: Effect::Idempotent,
+        key_scope: KeyScope::All,
+        repeat_window: 1500 * MS,
+        credit: 1.0,
+        late_worth: 0.1,
+    };
+    Settings {
+        balancers: 300,
+        me: 0,
+        my_zone: 0,
+        classes: vec![class],
+        tenant_quotas: vec![],
+        over_share_worth: 0.2,
+        report_fields: vec![],
+        max_attempts: 3,
+        may_duplicate: true,
+        may_cancel: true,
+        max_retry_after: S,
+        tick: MS,
+        cold_share: 0.15,
+        warm_after: 14 * S,
+        fall_multiple: 2.0,
+        fall_window: 1500 * MS,
+        orders: true,
+        loads_on_miss: true,
+        keep_alive: 10 * S,
+        load_window: 5 * S,
+        loads_anyway: 6.0,
+        loads_per_request: 0.3,
+        cross_zone_price: 0.0,
+        fetch_price: 0.15,
+        memory_price: 0.0,
+        list_on_request: false,
+    }
+}
+
+/// A list of `size` executors whose ids all differ from those of round `round - 1`.
+fn executors(size: usize, round: usize) -> Vec<Executor> {
+    let one = |n: usize| Executor {
+        id: format!("s-{round:04}-{n:05}").into(),
+        address: SocketAddr::from(([10, 1, (n / 250) as u8, (n % 250) as u8], 8080)),
+        zone: ["east", "west", "south"][n % 3].into(),
+        kind: "std".into(),
+        cell: n % 4,
+        state: State::Ready,
+        started_ms: 0,
+    };
+    (0..size).rev().map(one).collect()
+}
+
+/// Microseconds a list of `size` takes: in the checker, and in the module.
+fn costs(size: usize, rounds: usize) -> (f64, f64) {
+    let (mut checker, mut router) = (Checker::default(), Router::new(settings(), 7, 0));
+    let (mut checked, mut taken, mut out) = (0.0, 0.0, vec![]);
+    for round in 1..=rounds {
+        let list = executors(size, round);
+        let began = Instant::now();
+        let Verdict::Take { executors, .. } = checker.judge(round as u64 * S, list, size) else {
+            panic!("a good list refused");
+        };
+        checked += began.elapsed().as_secs_f64();
+        let entry = |(n, e): (usize, &Executor)| Listing {
+            worker: e.id.clone(),
+            zone: n % 3,
+            kind: 0,
+            cell: e.cell,
+            standing: Standing::Healthy,
+            ready_at: None,
+        };
+        let entries = executors.iter().enumerate().map(entry).collect();
+        let event = Event::Workers { complete: true, entries };
+        out.clear();
+        let began = Instant::now();
+        router.handle(round as u64 * S, &event, &mut out);
+        taken += began.elapsed().as_secs_f64();
+    }
+    let each = |total: f64| total * 1e6 / rounds as f64;
+    (each(checked), each(taken))
+}
+
+fn main() {
+    let (small, large) = (36, 3_600);
+    let (check_small, take_small) = costs(small, 2_000);
+    let (check_large, take_large) = costs(large, 20);
+    let per_entry = |large: f64, small_cost: f64| (large / 3_600.0) / (small_cost / 36.0);
+    let (check_ratio, take_ratio) = (per_entry(check_large, check_small), per_entry(take_large, take_small));
+    println!("check_36 {check_small:.2} us");
+    println!("check_3600 {check_large:.1} us");
+    println!("module_list_36 {take_small:.2} us");
+    println!("module_list_3600 {take_large:.1} us");
+    println!("check_per_entry_ratio {check_ratio:.2} x");
+    println!("module_per_entry_ratio {take_ratio:.2} x");
+    let mut missed = vec![];
+    if check_ratio >= 4.0 {
+        missed.push("the check of a list costs more than about linearly in its length");
+    }
+    if check_small + take_small >= 1_000.0 {
+        missed.push("a list of 36 takes 1 ms or more");
+    }
+    for why in &missed {
+        eprintln!("bound missed: {why}");
+    }
+    std::process::exit(i32::from(!missed.is_empty()));
+}
