--- a/src/control.rs
+++ b/src/control.rs
@@ -17,7 +17,7 @@
 
 use evidence::Evidence;
 pub use learned::Learned;
-pub use places::Tally;
+pub use places::{Sizes, Tally};
 
 /// Run time of a class before any answer, as a share of its aim: aims leave room for waits.
 const PRIOR_RUN: f64 = 0.25;
--- a/src/control/places.rs
+++ b/src/control/places.rs
@@ -18,7 +18,39 @@
     pub loads_left: u64,
 }
 
+/// How many entries each table of a router holds: all of its state that grows with what it is told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sizes {
+    /// Workers with a place, listed or not.
+    pub workers: usize,
+    /// Functions remembered; at most 1,024.
+    pub functions: usize,
+    /// Requests under way.
+    pub requests: usize,
+    /// Marks of copies, over all workers.
+    pub marks: usize,
+    /// Attempts out, over all workers.
+    pub open: usize,
+    /// Halls with evidence of late.
+    pub halls: usize,
+    /// Requests taken and loads ordered within the ration's window.
+    pub window: usize,
+}
+
 impl Router {
+    /// The size of each table, to show that all state is bounded.
+    pub fn sizes(&self) -> Sizes {
+        Sizes {
+            workers: self.workers.len(),
+            functions: self.functions.len(),
+            requests: self.requests.len(),
+            marks: self.workers.iter().map(|w| w.marks.len()).sum(),
+            open: self.workers.iter().map(|w| w.open.len()).sum(),
+            halls: self.halls.len(),
+            window: self.taken.len() + self.ordered.len(),
+        }
+    }
+
     /// What it did of its own accord.
     pub fn tally(&self) -> Tally {
         self.tally
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -798,3 +798,55 @@
     bed.close(new, 0, Outcome::Error, Found::Untold, 10 * MS);
     assert!(bed.sent().is_none() && !bed.refused());
 }
+
+/// A long day for one router: 45 minutes, 36 workers of which 12 are replaced every half minute, requests over 5,000
+/// functions, most new. Every table stays under its bound, and the last quarter of the day holds no more than the rest.
+#[test]
+fn a_long_day_keeps_every_table_bounded() {
+    use ochreward::control::Sizes;
+    let mut bed = Bed::new(settings(), 45, 36);
+    let (mut generation, mut most_early, mut most_late) = (0, Sizes::default(), Sizes::default());
+    let end = 45 * 60 * S;
+    let mut n = 0usize;
+    while bed.now < end {
+        bed.now += 20 * MS;
+        n += 1;
+        if n % 1_500 == 0 {
+            // Every 30 s a third of the workers is new; the list is whole.
+            generation += 1;
+            let list =
+                (0..36).map(|w| healthy(if w < 12 { 1_000 * generation + w } else { w }, None)).collect();
+            bed.list(true, list);
+        }
+        // A function among 5,000, drawn so that a few are asked often and most seldom.
+        let function = format!("f{}", (n * 7_919) % (if n % 3 == 0 { 20 } else { 5_000 }));
+        let id = bed.ask(0, &function, 2 * S);
+        if bed.sent().is_some() {
+            bed.close(id, 0, Outcome::Ok, Found::Warm, 40 * MS);
+        }
+        let sizes = bed.router.sizes();
+        let most = if bed.now < end * 3 / 4 { &mut most_early } else { &mut most_late };
+        *most = Sizes {
+            workers: most.workers.max(sizes.workers),
+            functions: most.functions.max(sizes.functions),
+            requests: most.requests.max(sizes.requests),
+            marks: most.marks.max(sizes.marks),
+            open: most.open.max(sizes.open),
+            halls: most.halls.max(sizes.halls),
+            window: most.window.max(sizes.window),
+        };
+    }
+    println!("early {most_early:?}\nlate {most_late:?}");
+    // Workers gone give their places up once nothing of theirs is owed: at most a few replacements are kept.
+    assert!(most_late.workers <= 36 + 3 * 12, "{most_late:?}");
+    assert!(most_late.functions <= 1_024, "{most_late:?}");
+    // Each request ended in its turn: nothing is left under way.
+    assert!(most_late.requests <= 2 && most_late.open <= 2, "{most_late:?}");
+    assert!(most_late.marks <= most_late.workers * 1_024, "{most_late:?}");
+    // Flat: the last quarter needs no more room than the three before it.
+    assert!(
+        most_late.workers <= most_early.workers && most_late.functions <= most_early.functions,
+        "{most_late:?}"
+    );
+    assert!(most_late.marks <= most_early.marks && most_late.window <= most_early.window, "{most_late:?}");
+}
