--- a/tests/control.rs
+++ b/tests/control.rs
@@ -811,7 +811,7 @@
     while bed.now < end {
         bed.now += 20 * MS;
         n += 1;
-        if n % 1_500 == 0 {
+        if n.is_multiple_of(1_500) {
             // Every 30 s a third of the workers is new; the list is whole.
             generation += 1;
             let list =
@@ -819,7 +819,7 @@
             bed.list(true, list);
         }
         // A function among 5,000, drawn so that a few are asked often and most seldom.
-        let function = format!("f{}", (n * 7_919) % (if n % 3 == 0 { 20 } else { 5_000 }));
+        let function = format!("f{}", (n * 7_919) % (if n.is_multiple_of(3) { 20 } else { 5_000 }));
         let id = bed.ask(0, &function, 2 * S);
         if bed.sent().is_some() {
             bed.close(id, 0, Outcome::Ok, Found::Warm, 40 * MS);
