The list bench takes the module's settings from the shipped example, not a copy

The bench had a copy of the settings that tests/fleet.rs builds (24 lines the same). It now reads deploy/example.json through the one place that reads configuration, so it measures the deployment's settings.

--- a/benches/lists.rs
+++ b/benches/lists.rs
@@ -8,47 +8,12 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
 
+/// The module's settings of the shipped example, as the deployment has them.
 fn settings() -> Settings {
-    let class = Class {
-        aim: 800 * MS,
-        deadline: 3 * S,
-        effect: Effect::Idempotent,
-        key_scope: KeyScope::All,
-        repeat_window: 1500 * MS,
-        credit: 1.0,
-        late_worth: 0.1,
-    };
-    Settings {
-        balancers: 300,
-        me: 0,
-        my_zone: 0,
-        classes: vec![class],
-        tenant_quotas: vec![],
-        over_share_worth: 0.2,
-        report_fields: vec![],
-        max_attempts: 3,
-        may_duplicate: true,
-        may_cancel: true,
-        max_retry_after: S,
-        tick: MS,
-        cold_share: 0.15,
-        warm_after: 14 * S,
-        fall_multiple: 2.0,
-        fall_window: 1500 * MS,
-        orders: true,
-        loads_on_miss: true,
-        keep_alive: 10 * S,
-        load_window: 5 * S,
-        loads_anyway: 6.0,
-        loads_per_request: 0.3,
-        cross_zone_price: 0.0,
-        fetch_price: 0.15,
-        memory_price: 0.0,
-        list_on_request: false,
-    }
+    let config = ochreward::config::Config::read(include_str!("../deploy/example.json"));
+    config.expect("the shipped example reads").parts.settings.module
 }
 
 /// A list of `size` executors whose ids all differ from those of round `round - 1`.
