An unreadable answer of the name service leaves its query's id open again

Seen on a second reading of the list check: the resolver took a query's id out of those awaited as soon as any packet with that id came, readable or not (src/names/resolver.rs, ready). Before the list check only a readable answer did so; a forged or spoilt packet with a guessed id could now keep the real answer of that query from being taken. The id is again taken out only by a readable answer; an unreadable one is counted as a refused list and nothing else.

--- a/src/names/resolver.rs
+++ b/src/names/resolver.rs
@@ -115,16 +115,18 @@
                 count(&self.counters.dns_dropped);
                 continue;
             };
-            self.open.remove(place);
+            // An unreadable packet leaves its id out: the real answer may still come.
             let verdict = match dns::read(message, &self.service) {
                 Err(bad) => self.checker.unreadable(bad.0),
                 // Packets overtake each other: an older list must not undo a newer one.
                 Ok(answer) if u64::from(answer.serial) <= self.serial => {
+                    self.open.remove(place);
                     count(&self.counters.dns_answers);
                     count(&self.counters.lists_stale);
                     continue;
                 }
                 Ok(answer) => {
+                    self.open.remove(place);
                     count(&self.counters.dns_answers);
                     let held = news.as_ref().map_or(held, Vec::len);
                     let verdict = self.checker.judge(now, answer.executors, held);
