Test: a spoilt packet with a query's id does not hide the answer that follows it

The scripted name service can now send the first half of each answer before the whole, with the same id.

--- a/tests/sockets/stand.rs
+++ b/tests/sockets/stand.rs
@@ -9,7 +9,7 @@
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -311,6 +311,8 @@
     list: List,
     /// Answers nonsense to so many queries first.
     pub nonsense: Arc<AtomicU32>,
+    /// Sends the first half of each answer before the whole, with the same id.
+    pub spoilt_first: Arc<AtomicBool>,
 }
 
 impl Names {
@@ -318,7 +320,8 @@
         let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
         let address = socket.local_addr().expect("an address");
         let (list, nonsense) = (List::default(), Arc::new(AtomicU32::new(0)));
-        let (known, odd) = (list.clone(), nonsense.clone());
+        let spoilt_first = Arc::new(AtomicBool::new(false));
+        let (known, odd, spoil) = (list.clone(), nonsense.clone(), spoilt_first.clone());
         std::thread::spawn(move || {
             let mut query = [0; 512];
             while let Ok((size, from)) = socket.recv_from(&mut query) {
@@ -332,10 +335,13 @@
                     let _ = socket.send_to(&forged, from);
                     continue;
                 }
+                if spoil.load(Ordering::SeqCst) {
+                    let _ = socket.send_to(&good[..good.len() / 2], from);
+                }
                 let _ = socket.send_to(&good, from);
             }
         });
-        Names { address, list, nonsense }
+        Names { address, list, nonsense, spoilt_first }
     }
 
     /// Sets the whole list.
--- a/tests/sockets/thrift.rs
+++ b/tests/sockets/thrift.rs
@@ -258,6 +258,23 @@
     assert!(program.counters()["dns_dropped"] >= 3);
 }
 
+#[test]
+fn a_spoilt_packet_with_the_id_of_a_query_does_not_hide_its_answer() {
+    let (old, new, names) = (Executor::start(), Executor::start(), Names::start());
+    names.set(2, &[("s9", new.address, 0)]);
+    names.spoilt_first.store(true, Ordering::SeqCst);
+    let program = Program::start(&config(&[&old], &names));
+    let began = Instant::now();
+    while program.counters()["lists_applied"] == 0 {
+        assert!(began.elapsed() < PATIENCE, "every answer is hidden by the spoilt packet before it");
+    }
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    new.next().ok(b"new");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"new".to_vec()))));
+    assert!(program.counters()["lists_refused"] >= 1);
+}
+
 /// Waits until the program has read an answer of the name service.
 fn until_answered(program: &Program) {
     let began = Instant::now();
