--- a/tests/sockets/thrift.rs
+++ b/tests/sockets/thrift.rs
@@ -247,10 +247,7 @@
     names.nonsense.store(3, Ordering::SeqCst);
     let program = Program::start(&config(&[&old], &names));
     let mut client = Client::connect(program.address);
-    let began = Instant::now();
-    while program.counters()["lists_applied"] == 0 {
-        assert!(began.elapsed() < PATIENCE, "the list is never read");
-    }
+    until_counted(&program, "lists_applied", "the list is never read");
     client.serve(1, &fields("flow-read", &id(1), LONG), b"");
     new.next().ok(b"new");
     assert_eq!(client.receive(), Some((1, Reply::Served(b"new".to_vec()))));
@@ -264,10 +261,7 @@
     names.set(2, &[("s9", new.address, 0)]);
     names.spoilt_first.store(true, Ordering::SeqCst);
     let program = Program::start(&config(&[&old], &names));
-    let began = Instant::now();
-    while program.counters()["lists_applied"] == 0 {
-        assert!(began.elapsed() < PATIENCE, "every answer is hidden by the spoilt packet before it");
-    }
+    until_counted(&program, "lists_applied", "every answer is hidden by the spoilt packet before it");
     let mut client = Client::connect(program.address);
     client.serve(1, &fields("flow-read", &id(1), LONG), b"");
     new.next().ok(b"new");
@@ -275,11 +269,11 @@
     assert!(program.counters()["lists_refused"] >= 1);
 }
 
-/// Waits until the program has read an answer of the name service.
-fn until_answered(program: &Program) {
+/// Waits until the program's counter `name` is above 0; `never` says what failed if it stays there.
+fn until_counted(program: &Program, name: &str, never: &str) {
     let began = Instant::now();
-    while program.counters()["dns_answers"] == 0 {
-        assert!(began.elapsed() < PATIENCE, "the name service is never heard");
+    while program.counters()[name] == 0 {
+        assert!(began.elapsed() < PATIENCE, "{never}");
     }
 }
 
@@ -288,7 +282,7 @@
     let (executor, names) = (Executor::start(), Names::start());
     names.set(2, &[]);
     let program = Program::start(&config(&[&executor], &names));
-    until_answered(&program);
+    until_counted(&program, "dns_answers", "the name service is never heard");
     // Within the hold the empty list is not believed: the request goes where the last good list says.
     let mut client = Client::connect(program.address);
     client.serve(1, &fields("flow-read", &id(1), LONG), b"");
@@ -304,7 +298,7 @@
     let (listed, other, names) = (Executor::start(), Executor::start(), Names::start());
     names.set(2, &[("s0", listed.address, 0), ("s0", other.address, 0), ("s9", other.address, 0)]);
     let program = Program::start(&config(&[&listed], &names));
-    until_answered(&program);
+    until_counted(&program, "dns_answers", "the name service is never heard");
     let mut client = Client::connect(program.address);
     for seq in 1..=4 {
         client.serve(seq, &fields("flow-read", &id(seq as u64), LONG), b"");
@@ -315,10 +309,7 @@
     assert_eq!(other.left(), 0);
     // An executor said twice at one address is one executor; that list is taken.
     names.set(3, &[("s0", listed.address, 0), ("s0", listed.address, 0)]);
-    let began = Instant::now();
-    while program.counters()["lists_merged"] == 0 {
-        assert!(began.elapsed() < PATIENCE, "the repeated entry is never merged");
-    }
+    until_counted(&program, "lists_merged", "the repeated entry is never merged");
     assert_eq!(program.counters()["lists_applied"], 1);
 }
 
@@ -710,10 +701,7 @@
     let mut first = executor.next();
     first.ok(b"");
     client.receive();
-    let began = Instant::now();
-    while program.counters()["executor_idle_closed"] == 0 {
-        assert!(began.elapsed() < PATIENCE, "never closed");
-    }
+    until_counted(&program, "executor_idle_closed", "never closed");
     client.serve(2, &fields("flow-read", &id(2), LONG), b"");
     let mut second = executor.next();
     second.ok(b"");
