--- a/crates/membership/src/gossip.rs
+++ b/crates/membership/src/gossip.rs
@@ -1,17 +1,23 @@
 //! What is still to be passed on: each claim a bounded number of times, the least passed on first (SWIM 4.1).
 
 use crate::wire::Claim;
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-/// Claims that wait to be passed on, at the most: the oldest give way, and the exchange of tables carries them.
+/// Claims that wait to be passed on, at the most: the one passed on most gives way, and the comparison of tables carries it.
 const MOST: usize = 1_024;
+/// Claims that are tried for one packet.
+const MOST_TRIED: usize = 64;
+
+/// Times passed on, and the number of its coming: the least passed on and last come goes first.
+type Place = (u32, Reverse<u64>);
 
 /// Claims on their way, one for each name.
 #[derive(Default)]
 pub(crate) struct Gossip {
-    /// Times passed on, and when it came, by name.
-    waiting: BTreeMap<Arc<str>, (u32, u64, Claim)>,
+    waiting: BTreeMap<Arc<str>, (Place, Claim)>,
+    order: BTreeSet<(Place, Arc<str>)>,
     came: u64,
 }
 
@@ -19,32 +25,43 @@
     /// Passes a claim on from now on, in place of an older one about the same member.
     pub fn add(&mut self, claim: Claim) {
         self.came += 1;
-        if self.waiting.len() >= MOST && !self.waiting.contains_key(&claim.name) {
-            let most = self.waiting.iter().max_by_key(|(_, (sent, came, _))| (*sent, u64::MAX - came));
-            if let Some(name) = most.map(|(name, _)| name.clone()) {
-                self.waiting.remove(&name);
-            }
+        if !self.remove(&claim.name.clone())
+            && self.waiting.len() >= MOST
+            && let Some((_, last)) = self.order.last().cloned()
+        {
+            self.remove(&last);
         }
-        self.waiting.insert(claim.name.clone(), (0, self.came, claim));
+        self.place((0, Reverse(self.came)), claim);
+    }
+
+    fn place(&mut self, place: Place, claim: Claim) {
+        self.order.insert((place, claim.name.clone()));
+        self.waiting.insert(claim.name.clone(), (place, claim));
     }
 
-    /// The next claims, those passed on least and come last first; `first` goes before all.
+    fn remove(&mut self, name: &Arc<str>) -> bool {
+        let gone = self.waiting.remove(name);
+        gone.as_ref().is_some_and(|(place, _)| self.order.remove(&(*place, name.clone())))
+    }
+
+    /// The next claims; `first` goes before all.
     pub fn next(&self, first: Option<Claim>) -> Vec<Claim> {
-        let mut list: Vec<&(u32, u64, Claim)> = self.waiting.values().collect();
-        list.sort_by_key(|(sent, came, _)| (*sent, u64::MAX - came));
-        let rest =
-            list.into_iter().map(|(_, _, c)| c).filter(|c| first.as_ref().is_none_or(|f| f.name != c.name));
-        first.iter().chain(rest).take(64).cloned().collect()
+        let listed = self.order.iter().filter_map(|(_, name)| Some(&self.waiting.get(name)?.1));
+        let rest = listed.filter(|c| first.as_ref().is_none_or(|f| f.name != c.name));
+        first.iter().chain(rest).take(MOST_TRIED).cloned().collect()
     }
 
     /// These went out; what has gone out `copies` times is done.
     pub fn sent(&mut self, claims: &[Claim], copies: u32) {
         for claim in claims {
-            if let Some(entry) = self.waiting.get_mut(&claim.name) {
-                entry.0 += 1;
-                if entry.0 >= copies {
-                    self.waiting.remove(&claim.name);
-                }
+            let Some((((times, came), kept), name)) =
+                self.waiting.get(&claim.name).cloned().map(|entry| (entry, &claim.name))
+            else {
+                continue;
+            };
+            self.remove(name);
+            if times + 1 < copies {
+                self.place((times + 1, came), kept);
             }
         }
     }
@@ -54,3 +71,43 @@
         self.waiting.len()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::wire::{Record, State};
+    use std::net::SocketAddr;
+
+    fn claim(name: usize, incarnation: u64) -> Claim {
+        let address = SocketAddr::from(([127, 0, 0, 1], 7));
+        let name = format!("n{name}").into();
+        Claim { name, address, instance: 1, incarnation, state: State::Alive, record: Record::default() }
+    }
+
+    #[test]
+    fn the_least_passed_on_goes_first_and_each_goes_out_so_often() {
+        let mut gossip = Gossip::default();
+        gossip.add(claim(1, 1));
+        gossip.add(claim(2, 1));
+        assert_eq!(gossip.next(None)[0].name, claim(2, 1).name, "the last that came");
+        gossip.sent(&[claim(2, 1)], 2);
+        assert_eq!(gossip.next(None)[0].name, claim(1, 1).name);
+        gossip.add(claim(2, 5));
+        assert_eq!(gossip.next(None)[0], claim(2, 5), "news begins anew, in place of the old");
+        assert_eq!(gossip.next(Some(claim(1, 9)))[0], claim(1, 9));
+        gossip.sent(&[claim(2, 5), claim(2, 5), claim(1, 1), claim(1, 1), claim(3, 1)], 2);
+        assert_eq!(gossip.len(), 0);
+    }
+
+    #[test]
+    fn it_is_bounded_and_news_finds_room() {
+        let mut gossip = Gossip::default();
+        for n in 0..MOST + 10 {
+            gossip.add(claim(n, 1));
+            gossip.sent(&[claim(n, 1)], 3);
+        }
+        assert_eq!(gossip.len(), MOST);
+        gossip.add(claim(MOST + 10, 1));
+        assert_eq!((gossip.len(), &gossip.next(None)[0]), (MOST, &claim(MOST + 10, 1)));
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -34,7 +34,7 @@
 mod table;
 pub mod wire;
 
-pub use machine::{Event, Membership, Own, Stats};
+pub use machine::{Event, Membership, Note, Own, Stats};
 pub use settings::Settings;
 pub use standing::{Agreement, Part};
 pub use table::{Member, Source};
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -3,15 +3,17 @@
 use crate::gossip::Gossip;
 use crate::health::Health;
 use crate::standing::{Agreement, Held, Part, divisor};
-use crate::table::{Change, Member, Source, Suspicion, Table};
-use crate::wire::{self, Body, Claim, Header, Packet, Record, State, Unread};
+use crate::table::{Change, Compares, Member, Source, Suspicion, Table};
+use crate::wire::{self, Body, Claim, Header, MARKS, Packet, Record, State, Unread};
 use crate::{Micros, Settings};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// Notes that the host has not taken, at the most.
+const MOST_NOTES: usize = 256;
 /// Packets and events that the host has not taken, at the most: what comes on top is dropped, as a network may.
 const MOST_OUT: usize = 1_024;
 /// Probes made for others that may be open at a time.
@@ -24,6 +26,8 @@
 const ENOUGH: usize = 3;
 /// Members known by others' words alone that are probed in a round.
 const MOST_STRANGERS: usize = 8;
+/// So many of the last sixteen probes sent again tell that packets get lost.
+const LOSSY: u32 = 4;
 /// Packets that say that this member leaves.
 const FAREWELLS: usize = 32;
 /// A turn this much later than it was due, in probe time-outs, means that this member stood still.
@@ -61,6 +65,19 @@
     Stands(Part),
 }
 
+/// What another part of the program said at another member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Note {
+    /// The member.
+    pub from: Arc<str>,
+    /// Its process.
+    pub instance: u64,
+    /// Which part of the program it is for.
+    pub channel: u8,
+    /// What it says. Danger: any bytes.
+    pub bytes: Vec<u8>,
+}
+
 /// Counts since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Stats {
@@ -103,6 +120,9 @@
     /// When others are asked, and whether they were.
     direct_until: Micros,
     through_others: bool,
+    /// When it is asked again: one lost packet must not make a suspect.
+    again: Micros,
+    repeated: bool,
     until: Micros,
 }
 
@@ -139,10 +159,17 @@
     page: usize,
     /// When another first answered, or the patience for that was over.
     joined: Option<Micros>,
+    /// The last sixteen probes: a bit for each that had to be sent again.
+    repeats: u16,
     /// The last four probes: a bit for each that nobody answered.
     recent: u8,
-    /// When the last packet came that answered something of ours.
+    /// When the last packet came that answered something of ours, and when any came.
     answered: Option<Micros>,
+    heard: Option<Micros>,
+    /// Members that may be under suspicion.
+    suspects: BTreeSet<Arc<str>>,
+    /// Members as they count for a share, by the table's count of changes.
+    counted: Option<(u64, (usize, usize))>,
     /// Another process with our name, and how often it outdid us.
     twin: Option<(u64, u32)>,
     yielded: Option<Micros>,
@@ -152,6 +179,8 @@
     stats: Stats,
     /// Packets to send, and where.
     pub packets: VecDeque<(SocketAddr, Vec<u8>)>,
+    /// What came for other parts of the program.
+    pub notes: VecDeque<Note>,
     /// What became known.
     pub events: VecDeque<Event>,
 }
@@ -181,8 +210,12 @@
             next_sync: now,
             page: 0,
             joined: None,
+            repeats: 0,
             recent: 0,
             answered: None,
+            heard: None,
+            suspects: BTreeSet::new(),
+            counted: None,
             twin: None,
             yielded: None,
             left: false,
@@ -190,6 +223,7 @@
             part: Part::Joining,
             stats: Stats::default(),
             packets: VecDeque::new(),
+            notes: VecDeque::new(),
             events: VecDeque::new(),
             seeds,
             set,
@@ -228,6 +262,16 @@
         self.table.digest() ^ wire::digest(&self.own)
     }
 
+    /// Members that are alive or suspect, this one among them.
+    pub fn alive(&self) -> usize {
+        self.table.counts().0 + 1
+    }
+
+    /// How this member stands.
+    pub fn part(&self) -> Part {
+        self.part
+    }
+
     /// How this member stands, and whether the views agree.
     pub fn agreement(&self) -> Agreement {
         let digest = self.digest();
@@ -257,9 +301,10 @@
     /// When something is next to be done.
     pub fn due(&self) -> Micros {
         // The next probe waits for the one that is open.
-        let open = |p: &Probe| if p.through_others { p.until } else { p.direct_until };
+        let open = |p: &Probe| p.until.min(p.direct_until).min(p.again);
         let probe = self.probe.as_ref().map_or(self.next_probe, open);
-        let suspicions = self.members().filter_map(|m| Some(m.suspicion.as_ref()?.due(ENOUGH)));
+        let suspect = |name| self.table.members.get(name)?.suspicion.as_ref();
+        let suspicions = self.suspects.iter().filter_map(suspect).map(|s| s.due(ENOUGH));
         let joining = self.joined.is_none().then_some(self.began + self.set.join_patience);
         let all = suspicions.chain(joining).chain([probe, self.next_sync, self.held.due()]);
         if self.left { Micros::MAX } else { all.min().unwrap_or(Micros::MAX) }
@@ -277,6 +322,25 @@
         }
     }
 
+    /// Takes in members that the host knows from elsewhere. They are as good as told by others, and are not passed on.
+    pub fn introduce<'a>(&mut self, now: Micros, claims: impl Iterator<Item = &'a Claim>) {
+        self.now = self.now.max(now);
+        for claim in claims.filter(|c| c.name != self.own.name) {
+            self.table.merge(self.now, claim, Source::Told, self.set.most_members);
+        }
+    }
+
+    /// Tells one member something for another part of the program; false if it is not up, or this is too long. It may get
+    /// lost, come late, or come out of order, and never comes twice to one process.
+    pub fn note(&mut self, now: Micros, to: &str, channel: u8, bytes: Vec<u8>) -> bool {
+        self.now = self.now.max(now);
+        let up =
+            self.table.members.get(to).filter(|m| m.is_up() && bytes.len() <= wire::MOST_NOTE && !self.left);
+        let Some(address) = up.map(|m| m.address) else { return false };
+        self.send(address, &Body::Note { channel, bytes }, None);
+        true
+    }
+
     /// Leaves on purpose: some are told at once, they tell the rest. Nothing is sent or taken after this.
     pub fn leave(&mut self, now: Micros) {
         if self.left {
@@ -308,10 +372,9 @@
             self.health.stalled();
             self.probe = None;
             self.sought.clear();
-            for member in self.table.members.values_mut() {
-                if let Some(suspicion) = &mut member.suspicion {
-                    suspicion.began += late;
-                }
+            for name in &self.suspects {
+                let member = self.table.members.get_mut(name);
+                member.and_then(|m| m.suspicion.as_mut()).into_iter().for_each(|s| s.began += late);
             }
             self.next_probe = self.now;
             self.event(Event::Stalled(late));
@@ -328,8 +391,8 @@
         if self.now >= self.next_sync {
             self.next_sync = self.now + self.set.sync_every / 2 + self.below(self.set.sync_every);
             self.sync();
+            self.forget();
         }
-        self.forget();
         self.stand();
     }
 
@@ -380,8 +443,33 @@
                 } else {
                     self.met();
                 }
-                if !same {
-                    self.pages(from);
+                // Who asked goes on, so that one exchange is under way and not two.
+                if !same && answer {
+                    self.differ(from, &sender);
+                }
+            }
+            Body::Differ { marks, answer } => {
+                if let Some(member) = self.table.members.get_mut(&sender) {
+                    member.compares = Compares::Yes;
+                }
+                let own = self.marks();
+                if !answer {
+                    self.reply(from, &Body::Differ { marks: own.to_vec(), answer: true }, &sender);
+                }
+                let differs = |name: &str| {
+                    let mark = wire::mark_of(name);
+                    marks.get(mark) != Some(&own[mark])
+                };
+                self.pages(from, differs);
+            }
+            Body::Note { channel, bytes } => {
+                if self.notes.len() < MOST_NOTES {
+                    self.notes.push_back(Note {
+                        from: sender,
+                        instance: header.own.instance,
+                        channel,
+                        bytes,
+                    });
                 }
             }
             Body::Claims => {}
@@ -403,7 +491,10 @@
                     self.stats.replayed += 1;
                     return false;
                 }
-                known.heard = Some(self.now);
+                if known.heard.replace(self.now).is_none() {
+                    self.table.changes += 1;
+                }
+                self.heard = Some(self.now);
                 if known.is_up() {
                     known.address = from;
                 }
@@ -422,7 +513,10 @@
         if let Some(known) = self.table.members.get_mut(&own.name)
             && known.instance == own.instance
         {
-            known.heard = Some(self.now);
+            if known.heard.replace(self.now).is_none() {
+                self.table.changes += 1;
+            }
+            self.heard = Some(self.now);
             known.window.take(self.now, header.stamp);
             (known.digest, known.load) = (header.digest, header.load);
         }
@@ -526,6 +620,7 @@
         if let Some(member) = self.table.members.get_mut(name) {
             let by = vec![by.clone()];
             member.suspicion = Some(Suspicion { began: self.now, least, most, by });
+            self.suspects.insert(name.clone());
         }
     }
 
@@ -539,9 +634,11 @@
     }
 
     fn suspicions(&mut self) {
+        let members = &self.table.members;
+        self.suspects.retain(|name| members.get(name).is_some_and(|m| m.suspicion.is_some()));
         let over = |m: &&Member| m.suspicion.as_ref().is_some_and(|s| s.due(ENOUGH) <= self.now);
-        let due: Vec<(Claim, bool)> = self
-            .members()
+        let due: Vec<(Claim, bool)> = (self.suspects.iter())
+            .filter_map(|name| members.get(name))
             .filter(over)
             .map(|m| {
                 (m.claim(), m.suspicion.as_ref().is_some_and(|s| m.heard.is_some_and(|at| at > s.began)))
@@ -567,12 +664,25 @@
         if let Some(probe) = self.probe.take_if(|p| p.until <= self.now) {
             self.unanswered(&probe);
         }
-        let open = self.probe.as_ref().filter(|p| !p.through_others && p.direct_until <= self.now);
-        if let Some((number, target)) = open.map(|p| (p.number, p.target.clone())) {
-            if let Some(probe) = &mut self.probe {
+        if let Some(probe) = self.probe.as_mut().filter(|p| p.again.min(p.direct_until) <= self.now) {
+            let asks = probe.direct_until <= self.now;
+            if asks {
+                // Through others drawn anew each time.
+                probe.direct_until = probe.until;
                 probe.through_others = true;
             }
-            self.ask_others(number, &target);
+            let again = probe.again <= self.now;
+            if again {
+                probe.again = self.now + self.set.probe_timeout;
+                probe.repeated = true;
+            }
+            let (number, target, through) = (probe.number, probe.target.clone(), probe.through_others);
+            if asks || (again && through) {
+                self.ask_others(number, &target);
+            }
+            if again && let Some(address) = self.table.members.get(&target).map(|m| m.address) {
+                self.send(address, &Body::Ping { number, target }, None);
+            }
         }
         if self.probe.is_none() && self.now >= self.next_probe {
             // Each its own time: members that begin together must not probe together.
@@ -612,13 +722,20 @@
         };
         let number = self.number();
         let direct = self.health.stretch(self.set.probe_timeout);
-        let whole = self.health.stretch(self.set.probe_every).max(direct * 2);
+        let mut whole = self.health.stretch(self.set.probe_every).max(direct * 2);
+        // Where packets get lost as a rule, a probe takes twice as long: accusations that are denied afterwards cost each
+        // member packets by the size of the group.
+        if self.repeats.count_ones() >= LOSSY {
+            whole *= 2;
+        }
         self.probe = Some(Probe {
             number,
             target: target.name.clone(),
             sent: self.now,
             direct_until: self.now + direct,
             through_others: false,
+            again: self.now + self.set.probe_timeout,
+            repeated: false,
             until: self.now + whole,
         });
         self.stats.probes += 1;
@@ -642,6 +759,7 @@
 
     fn unanswered(&mut self, probe: &Probe) {
         self.stats.unanswered += 1;
+        self.repeats = self.repeats << 1 | 1;
         self.recent = self.recent << 1 | 1;
         self.health.ill();
         let Some(member) = self.table.members.get(&probe.target).filter(|m| m.state == State::Alive) else {
@@ -663,6 +781,7 @@
         }
         let Some(probe) = self.probe.take_if(|p| p.number == number) else { return };
         self.health.well();
+        self.repeats = self.repeats << 1 | u16::from(probe.repeated);
         self.recent <<= 1;
         if *sender == probe.target
             && let Some(member) = self.table.members.get_mut(sender)
@@ -721,10 +840,31 @@
         }
     }
 
-    /// Sends all claims, or as many as an exchange may have.
-    fn pages(&mut self, to: SocketAddr) {
-        let mut all: Vec<Claim> =
-            self.members().filter(|m| m.state != State::Left).map(Member::claim).collect();
+    /// The digests of the parts of this member's view.
+    fn marks(&self) -> [u32; MARKS] {
+        let mut marks = self.table.marks();
+        marks[wire::mark_of(&self.own.name)] ^= wire::digest(&self.own) as u32;
+        marks
+    }
+
+    /// Finds out with another in which parts the tables differ; or sends all, to one that does not know how.
+    fn differ(&mut self, to: SocketAddr, name: &Arc<str>) {
+        let Some(member) = self.table.members.get_mut(name) else { return };
+        let unanswered = member.compares == Compares::Asked;
+        if member.compares == Compares::Untold {
+            member.compares = Compares::Asked;
+        }
+        let marks = self.marks().to_vec();
+        self.send(to, &Body::Differ { marks, answer: false }, None);
+        if unanswered {
+            self.pages(to, |_| true);
+        }
+    }
+
+    /// Sends all such claims, or as many as an exchange may have.
+    fn pages(&mut self, to: SocketAddr, which: impl Fn(&str) -> bool) {
+        let listed = self.members().filter(|m| m.state != State::Left && which(&m.name));
+        let mut all: Vec<Claim> = listed.map(Member::claim).collect();
         if all.is_empty() {
             return;
         }
@@ -753,7 +893,11 @@
 
     /// Members that hear each other, this one among them, and silent ones, as they count for a share. Danger: a peer may
     /// claim thousands. Those that never spoke to this member count only as far as the platform expects so many.
-    fn counted(&self) -> (usize, usize) {
+    fn counted(&mut self) -> (usize, usize) {
+        let changes = self.table.changes;
+        if let Some((_, counts)) = self.counted.filter(|(at, _)| *at == changes) {
+            return counts;
+        }
         let (mut up, mut silent, mut told_up, mut told_silent) = (1, 0, 0, 0);
         for member in self.members() {
             match (member.state, member.heard.is_some()) {
@@ -766,7 +910,9 @@
         }
         let room = self.set.expected.saturating_sub(up + silent);
         let up_too = told_up.min(room);
-        (up + up_too, silent + told_silent.min(room - up_too))
+        let counts = (up + up_too, silent + told_silent.min(room - up_too));
+        self.counted = Some((changes, counts));
+        counts
     }
 
     // ---- Where this member stands ----
@@ -778,7 +924,7 @@
         // Others are up in the table until they have failed there; one that nobody answers may not rely on it.
         let answering =
             if up == 0 || recent(self.answered) || self.now < self.began + window { up } else { 0 };
-        let heard = self.members().any(|m| m.heard.is_some_and(|at| at + window > self.now));
+        let heard = recent(self.heard);
         // The rest of the group must have heard of one that joins before it takes a part.
         let joined = self.joined.is_some_and(|at| at + window <= self.now);
         let part = Part::of(joined, up + silent, answering, heard);
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -1,7 +1,7 @@
 //! Who is known, and how that is known. Claims are merged here; what follows from one is the machine's.
 
 use crate::Micros;
-use crate::wire::{Claim, Record, State, Window, digest};
+use crate::wire::{Claim, MARKS, Record, State, Window, digest, mark_of};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -44,12 +44,26 @@
     pub digest: u64,
     /// In thousandths.
     pub load: u16,
+    /// Whether it compares tables by marks, as far as is known.
+    pub(crate) compares: Compares,
     /// Tells replays.
     pub(crate) window: Window,
     /// While suspect: when it counts as failed, and who suspects it.
     pub(crate) suspicion: Option<Suspicion>,
 }
 
+/// Whether a member answers a comparison by marks; the first version of the program did not.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Compares {
+    /// Not known.
+    #[default]
+    Untold,
+    /// Marks were sent, and none came back yet.
+    Asked,
+    /// It does.
+    Yes,
+}
+
 /// A suspicion under way.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Suspicion {
@@ -105,7 +119,10 @@
 #[derive(Default)]
 pub(crate) struct Table {
     pub members: BTreeMap<Arc<str>, Member>,
+    /// Counts what changed of that by which members are counted.
+    pub changes: u64,
     digest: u64,
+    marks: [u32; MARKS],
     up: usize,
     silent: usize,
 }
@@ -124,6 +141,7 @@
             let Some(member) = self.members.get_mut(&claim.name) else { return Change::None };
             if renewed {
                 (member.window, member.heard, member.answered) = (Window::default(), None, None);
+                member.compares = Compares::default();
             }
             if was != claim.state || renewed {
                 (member.since, member.source) = (now, source);
@@ -153,6 +171,7 @@
             answered: None,
             digest: 0,
             load: 0,
+            compares: Compares::default(),
             window: Window::default(),
             suspicion: None,
         };
@@ -178,7 +197,10 @@
     }
 
     fn count(&mut self, claim: &Claim, adds: bool) {
-        self.digest ^= digest(claim);
+        let digest = digest(claim);
+        self.digest ^= digest;
+        self.marks[mark_of(&claim.name)] ^= digest as u32;
+        self.changes += 1;
         let counter = match claim.state {
             State::Alive | State::Suspect => &mut self.up,
             State::Failed => &mut self.silent,
@@ -192,6 +214,11 @@
         self.digest
     }
 
+    /// The same by parts of the table: members whose names share a mark.
+    pub fn marks(&self) -> [u32; MARKS] {
+        self.marks
+    }
+
     /// Members that are alive or suspect, and that are silent.
     pub fn counts(&self) -> (usize, usize) {
         (self.up, self.silent)
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -16,7 +16,13 @@
 pub const MOST_NAME: usize = 64;
 /// The longest text of a record, in bytes.
 pub const MOST_TEXT: usize = 32;
-/// The version of the packet.
+/// Parts into which tables are split to be compared.
+pub const MARKS: usize = 32;
+/// The most bytes of a note.
+pub const MOST_NOTE: usize = 900;
+/// The version of the packet. What is added comes as further kinds of body, which older members drop, counted as damaged;
+/// it rises only with a release that still reads and sends the former one, since members that drop each other's packets
+/// would count without each other.
 pub const VERSION: u8 = 1;
 const MAGIC: [u8; 2] = *b"oP";
 
@@ -121,6 +127,30 @@
     },
     /// Nothing but claims.
     Claims,
+    /// The digests of the parts of my table, [`MARKS`] of them: send the claims of those in which yours differs.
+    Differ {
+        /// The digests, each cut to 32 bits.
+        marks: Vec<u32>,
+        /// This answers a `Differ`: it asks for none in return.
+        answer: bool,
+    },
+    /// What other parts of the program tell each other; [`MOST_NOTE`] bytes at the most.
+    Note {
+        /// Which part.
+        channel: u8,
+        /// What it says.
+        bytes: Vec<u8>,
+    },
+}
+
+impl Body {
+    fn fits(&self) -> bool {
+        match self {
+            Body::Differ { marks, .. } => marks.len() == MARKS,
+            Body::Note { bytes, .. } => bytes.len() <= MOST_NOTE,
+            _ => true,
+        }
+    }
 }
 
 /// Who sends, and how the group looks from there.
@@ -171,6 +201,13 @@
     hasher.finish()
 }
 
+/// The part of a table that a name belongs to.
+pub fn mark_of(name: &str) -> usize {
+    let mut hasher = SipHasher13::new();
+    name.hash(&mut hasher);
+    (hasher.finish() % MARKS as u64) as usize
+}
+
 /// What a claim adds to a table's digest.
 pub fn digest(claim: &Claim) -> u64 {
     let class = match claim.state {
@@ -229,7 +266,7 @@
     if read.header.group != group {
         return Err(Unread::Group);
     }
-    if !read.header.own.fits() || !read.claims.iter().all(Claim::fits) {
+    if !read.header.own.fits() || !read.body.fits() || !read.claims.iter().all(Claim::fits) {
         return Err(Unread::Bounds);
     }
     Ok(read)
@@ -314,6 +351,12 @@
         old[2] = 0;
         old.extend(crc32fast::hash(&old).to_le_bytes());
         assert_eq!(read(&old, group("g")), Err(Unread::Version(0)));
+        let (long, _) = write(&header(), &Body::Differ { marks: vec![0; MARKS + 1], answer: true }, &[]);
+        assert_eq!(read(&long, group("g")), Err(Unread::Bounds));
+        let (long, _) = write(&header(), &Body::Note { channel: 1, bytes: vec![0; MOST_NOTE + 1] }, &[]);
+        assert_eq!(read(&long, group("g")), Err(Unread::Bounds));
+        let (note, _) = write(&header(), &Body::Note { channel: 1, bytes: vec![255; MOST_NOTE] }, &[]);
+        assert!(note.len() <= MOST_PACKET && read(&note, group("g")).is_ok());
         let (long, _) = write(&header(), &Body::Claims, &[claim(&"x".repeat(65))]);
         assert_eq!(read(&long, group("g")), Err(Unread::Bounds));
     }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -1,11 +1,13 @@
 //! A group of real dispatchers that know each other, with workers, a name service and clients.
 
 use crate::history::{History, judge};
-use crate::load::{Asker, Worker, run_twice};
+use crate::load::{Asker, run_twice};
 use crate::relay::Relay;
 use crate::stand::{self, Names, PATIENCE, Program};
+use crate::worker::Worker;
 use serde_json::{Value, json};
-use std::net::TcpListener;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
@@ -22,8 +24,15 @@
     /// What all said.
     pub history: History,
     seed: u64,
-    workers: Vec<Worker>,
-    names: Names,
+    /// The workers.
+    pub workers: Vec<Worker>,
+    /// Name services: that of the even dispatchers, and that of the odd ones.
+    names: [Names; 2],
+    /// The number of the last list that they told.
+    serial: u32,
+    /// A name service that says nothing, and those that are told of it and of no list.
+    mute: UdpSocket,
+    listless: Vec<bool>,
     programs: Vec<Option<Program>>,
     askers: Vec<Asker>,
     /// Was killed, stopped, cut off or lost packets.
@@ -56,7 +65,10 @@
             history: History::default(),
             seed,
             workers,
-            names: Names::start(),
+            names: [Names::start(), Names::start()],
+            serial: 1,
+            mute: UdpSocket::bind("127.0.0.1:0").expect("a socket"),
+            listless: vec![false; count],
             programs: (0..count).map(|_| None).collect(),
             askers: Vec::new(),
             faulty: vec![false; count],
@@ -79,14 +91,85 @@
     /// A dispatcher's configuration.
     pub fn config(&self, n: usize) -> Value {
         let addresses: Vec<_> = self.workers.iter().map(|w| w.address).collect();
-        let mut config = stand::config_at(&addresses, &self.names);
+        let mut config = stand::config_at(&addresses, &self.names[n % 2]);
         config["name"] = json!(name(n));
         config["ops"] = json!("127.0.0.1:0");
         config["settings"]["balancers"] = json!(self.expected);
         config["settings"]["me"] = json!(n);
+        if self.listless[n] {
+            config["names"] = json!(self.mute.local_addr().expect("an address").to_string());
+            config.as_object_mut().into_iter().for_each(|c| drop(c.remove("known")));
+        }
         config
     }
 
+    /// From its next start on, this one is told no list, and the name service says nothing to it.
+    pub fn listless(&mut self, n: usize) {
+        self.listless[n] = true;
+    }
+
+    /// Has the name services tell these lists under one number, to even and to odd dispatchers, and waits until all take it.
+    pub fn lists_told(&mut self, lists: [&[(&str, SocketAddr, u16)]; 2]) {
+        self.serial += 1;
+        let before: Vec<u64> = (0..self.count()).map(|n| self.counter(n, "lists_applied")).collect();
+        for (names, list) in self.names.iter().zip(lists) {
+            names.set(self.serial, list);
+        }
+        let told = |n: &usize| self.programs[*n].is_some() && !self.listless[*n];
+        self.until_so("the lists are in use", || {
+            (0..self.count()).filter(told).all(|n| self.counter(n, "lists_applied") > before[n])
+        });
+    }
+
+    /// One of a dispatcher's counters.
+    pub fn counter(&self, n: usize, counter: &str) -> u64 {
+        self.counters(n).get(counter).copied().unwrap_or_default()
+    }
+
+    /// All of them.
+    pub fn counters(&self, n: usize) -> BTreeMap<String, u64> {
+        self.programs[n].as_ref().map(Program::counters).unwrap_or_default()
+    }
+
+    /// Its process.
+    pub fn process(&self, n: usize) -> Option<u32> {
+        self.programs[n].as_ref().map(|p| p.child.id())
+    }
+
+    /// Where clients reach it.
+    pub fn address(&self, n: usize) -> Option<SocketAddr> {
+        self.programs[n].as_ref().map(|p| p.address)
+    }
+
+    /// A worker dies: what it held is lost.
+    pub fn kill_worker(&mut self, w: usize) {
+        self.note(json!({"kill worker": w}));
+        self.workers[w].kill();
+    }
+
+    /// It stands again.
+    pub fn restart_worker(&mut self, w: usize) {
+        self.note(json!({"restart worker": w}));
+        self.workers[w].restart();
+    }
+
+    /// Clients ask no more.
+    pub fn quiet(&mut self) {
+        for asker in self.askers.drain(..) {
+            let _books = asker.end();
+        }
+    }
+
+    /// Waits until something holds that is observed elsewhere than in the views.
+    pub fn until_so(&self, what: &str, holds: impl Fn() -> bool) {
+        let began = Instant::now();
+        while !holds() {
+            assert!(began.elapsed() < PATIENCE, "seed {}: never came: {what}\n{}", self.seed, self.history);
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        self.note(json!({"seen": what}));
+    }
+
     /// Its operator's file.
     pub fn operator(&self, n: usize) -> PathBuf {
         let seeds: Vec<String> =
--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -42,6 +42,10 @@
         let (history, who) = (self.clone(), who.to_string());
         std::thread::spawn(move || {
             for line in BufReader::new(from).lines().map_while(Result::ok) {
+                // Seen at once: the test may wait for a word of a process that is gone.
+                if line.contains("panicked at") {
+                    eprintln!("{who}: {line}");
+                }
                 let what = serde_json::from_str(&line).unwrap_or(Value::String(line));
                 history.note(&who, what);
             }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod relay;
 #[allow(missing_docs)]
 pub mod stand;
+pub mod worker;
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -1,49 +1,20 @@
-//! Workers that answer by themselves, and clients that ask without end and keep their books.
+//! Clients that ask without end and keep their books.
 
-use crate::stand::{Client, Executor, Reply, fields};
-use serde_json::json;
+use crate::stand::{Client, Reply, fields};
+use crate::worker::Worker;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// A worker that answers each request with its own body, and counts how often each was sent to it.
-pub struct Worker {
-    /// Where it is.
-    pub address: SocketAddr,
-    runs: Arc<Mutex<BTreeMap<String, (String, u32)>>>,
-}
-
-impl Worker {
-    /// Starts one.
-    pub fn start() -> Worker {
-        let executor = Executor::start();
-        let (address, runs) = (executor.address, Arc::<Mutex<BTreeMap<String, (String, u32)>>>::default());
-        let seen = runs.clone();
-        std::thread::spawn(move || {
-            while let Some(mut line) = executor.line() {
-                if line.verb() != "go" {
-                    continue;
-                }
-                let word = |v: &serde_json::Value| v.as_str().unwrap_or_default().to_string();
-                let (rid, class) = (word(&line.value["rid"]), word(&line.value["attrs"]["c"]));
-                seen.lock().expect("runs").entry(rid).or_insert((class, 0)).1 += 1;
-                let body = line.body();
-                line.try_answer("OK", json!({"note": "up"}), &body);
-            }
-        });
-        Worker { address, runs }
-    }
-}
-
 /// Requests of an unsafe class that were sent out more than once, over all workers.
 pub fn run_twice(workers: &[Worker]) -> Vec<String> {
     let mut all = BTreeMap::<String, u32>::new();
     for worker in workers {
-        for (rid, (class, count)) in worker.runs.lock().expect("runs").iter() {
+        for (rid, (class, count)) in worker.runs() {
             if class == "alert-send" {
-                *all.entry(rid.clone()).or_default() += count;
+                *all.entry(rid).or_default() += count;
             }
         }
     }
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -1,4 +1,5 @@
-//! Every directed link between two processes goes through here: datagrams are lost, delayed, doubled or cut by link.
+//! Every directed link between two processes goes through here: datagrams are lost, delayed, doubled or cut by link;
+//! connections are cut, throttled, reset, or fall silent while they stay up.
 //!
 //! Each process has one public address, a socket of the relay. What comes there from one process's real address goes on to
 //! the other's from the sender's public address, so that each sees the others where all see them.
@@ -6,8 +7,9 @@
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap};
-use std::net::{SocketAddr, UdpSocket};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
@@ -23,12 +25,20 @@
     pub delay: Duration,
     /// So many of a hundred come twice.
     pub doubled: u32,
+    /// Connections from the one to the other stay up, and nothing passes that way.
+    pub silent: BTreeSet<(usize, usize)>,
+    /// Connections to this one get a byte at a time, each after so long.
+    pub throttled: BTreeMap<usize, Duration>,
+    /// Connections to this one are reset after so many bytes from the other.
+    pub reset: BTreeMap<usize, usize>,
 }
 
 type Waiting = BinaryHeap<Reverse<(Instant, u64, usize, usize, Vec<u8>)>>;
 
 struct Shared {
     sockets: Vec<UdpSocket>,
+    /// Connections that passed through, by the one that began them.
+    passed: Mutex<Vec<usize>>,
     real: Mutex<Vec<Option<SocketAddr>>>,
     faults: Mutex<Faults>,
     waiting: Mutex<(Waiting, u64, Pcg32)>,
@@ -44,19 +54,28 @@
 impl Relay {
     /// For so many processes; the seed decides what is lost and when what comes.
     pub fn start(count: usize, seed: u64) -> Relay {
-        let sockets: Vec<UdpSocket> =
-            (0..count).map(|_| UdpSocket::bind("127.0.0.1:0").expect("a socket")).collect();
+        let (sockets, listeners): (Vec<UdpSocket>, Vec<TcpListener>) = (0..count).map(|_| both()).unzip();
         let shared = Arc::new(Shared {
             sockets,
+            passed: Mutex::new(vec![0; count]),
             real: Mutex::new(vec![None; count]),
             faults: Mutex::default(),
             waiting: Mutex::new((BinaryHeap::new(), 0, Pcg32::seed_from_u64(seed))),
             more: Condvar::new(),
             over: AtomicBool::new(false),
         });
-        for to in 0..count {
-            let shared = shared.clone();
-            std::thread::spawn(move || shared.listen(to));
+        for (to, listener) in listeners.into_iter().enumerate() {
+            let (datagrams, streams) = (shared.clone(), shared.clone());
+            std::thread::spawn(move || datagrams.listen(to));
+            std::thread::spawn(move || {
+                for stream in listener.incoming().map_while(Result::ok) {
+                    if streams.over.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let shared = streams.clone();
+                    std::thread::spawn(move || shared.connected(to, stream));
+                }
+            });
         }
         let sender = shared.clone();
         std::thread::spawn(move || sender.send());
@@ -93,6 +112,11 @@
         self.cut(there, here);
     }
 
+    /// Connections that this one began, through here.
+    pub fn connections(&self, from: usize) -> usize {
+        self.shared.passed.lock().expect("counts")[from]
+    }
+
     /// All passes again.
     pub fn heal(&self) {
         self.faults(|f| *f = Faults::default());
@@ -110,12 +134,90 @@
         self.shared.more.notify_all();
         // Each listener wakes once more, and ends.
         for socket in &self.shared.sockets {
-            let _ = socket.local_addr().and_then(|own| socket.send_to(b"", own));
+            let own = socket.local_addr();
+            let _ = own.as_ref().map(|own| (socket.send_to(b"", own), TcpStream::connect(own)));
         }
     }
 }
 
+/// A port for datagrams and one for connections, of the same number.
+fn both() -> (UdpSocket, TcpListener) {
+    loop {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+        if let Ok(listener) = TcpListener::bind(socket.local_addr().expect("an address")) {
+            return (socket, listener);
+        }
+    }
+}
+
+/// The first line, with its end; who begins a connection says his name in it.
+fn first_line(stream: &mut TcpStream) -> Vec<u8> {
+    let (mut line, mut byte) = (Vec::new(), [0]);
+    while line.len() < 256 && !line.ends_with(b"\n") && matches!(stream.read(&mut byte), Ok(1)) {
+        line.push(byte[0]);
+    }
+    line
+}
+
 impl Shared {
+    /// A connection to a process: what goes each way passes as the faults let it.
+    fn connected(&self, to: usize, mut asker: TcpStream) {
+        let line = first_line(&mut asker);
+        let text = String::from_utf8_lossy(&line);
+        let name = text.trim_end().rsplit(" n").next().and_then(|n| n.parse::<usize>().ok());
+        let Some(from) = name.filter(|n| *n < self.sockets.len()) else { return };
+        self.passed.lock().expect("counts")[from] += 1;
+        let real = self.real.lock().expect("addresses")[to];
+        let Some(mut other) = real.and_then(|real| TcpStream::connect(real).ok()) else { return };
+        self.wait_open(from, to);
+        let clones = (asker.try_clone(), other.try_clone());
+        if other.write_all(&line).is_err() {
+            return;
+        }
+        if let (Ok(reader), Ok(writer)) = clones {
+            std::thread::scope(|scope| {
+                scope.spawn(|| self.pump(from, to, reader, writer));
+                self.pump(to, from, other, asker);
+            });
+        }
+    }
+
+    /// Waits while nothing passes that way.
+    fn wait_open(&self, from: usize, to: usize) {
+        let shut = || {
+            let faults = self.faults.lock().expect("faults");
+            faults.silent.contains(&(from, to)) || faults.cut.contains(&(from, to))
+        };
+        while shut() && !self.over.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn pump(&self, from: usize, to: usize, mut reader: TcpStream, mut writer: TcpStream) {
+        let (mut buffer, mut passed) = ([0; 4_096], 0);
+        while let Ok(size @ 1..) = reader.read(&mut buffer) {
+            self.wait_open(from, to);
+            let (throttle, reset) = {
+                let faults = self.faults.lock().expect("faults");
+                (faults.throttled.get(&to).copied(), faults.reset.get(&to).copied())
+            };
+            for piece in buffer[..size].chunks(if throttle.is_some() { 1 } else { 256 }) {
+                throttle.into_iter().for_each(std::thread::sleep);
+                if reset.is_some_and(|after| passed >= after) {
+                    let _ = rustix::net::sockopt::set_socket_linger(&writer, Some(Duration::ZERO));
+                    let _ = reader.shutdown(std::net::Shutdown::Both);
+                    return;
+                }
+                if writer.write_all(piece).is_err() {
+                    let _ = reader.shutdown(std::net::Shutdown::Both);
+                    return;
+                }
+                passed += piece.len();
+            }
+        }
+        let _ = writer.shutdown(std::net::Shutdown::Write);
+    }
+
     fn listen(&self, to: usize) {
         let mut buffer = [0; 2_048];
         while let Ok((size, from)) = self.sockets[to].recv_from(&mut buffer) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -234,6 +234,13 @@
         self.division = division;
     }
 
+    /// No connection came up to a worker that was only looked at.
+    pub fn unreached(&mut self, now: Micros, worker: &WorkerId) {
+        if let Some(n) = self.worker_ids.get(worker) {
+            self.workers[*n].cut_off(now, true);
+        }
+    }
+
     /// New settings. What was learned of a class stays with its place, unless that is `fresh`; requests under
     /// way keep what their class asked for.
     pub fn configure(&mut self, set: Settings, fresh: &[usize]) {
@@ -941,11 +948,7 @@
                 }
             }
             Outcome::Reset | Outcome::ConnectFailed | Outcome::Unknown => {
-                // Danger: connections break while the process lives on. It is dead where no new one comes up.
-                if outcome == Outcome::ConnectFailed && w.broke > w.heard_any && w.broke < now {
-                    w.forget_copies();
-                }
-                w.broke = now;
+                w.cut_off(now, outcome == Outcome::ConnectFailed);
             }
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
--- a/src/control/evidence.rs
+++ b/src/control/evidence.rs
@@ -47,6 +47,16 @@
         self.samples(now, half) * std::f64::consts::LN_2 / half
     }
 
+    /// The same, as it would be for a clock that is `behind`.
+    pub fn earlier(self, behind: Micros) -> Evidence {
+        Evidence { at: self.at.saturating_sub(behind), ..self }
+    }
+
+    /// Whether its figures are numbers of a sum of samples, none above `most` on the average.
+    pub fn sane(&self, most: f64) -> bool {
+        self.weight >= 0.0 && self.weight.is_finite() && self.sum.abs() <= most * self.weight.max(1.0)
+    }
+
     /// When a sample was last added.
     pub fn at(&self) -> Micros {
         self.at
--- a/src/control/learned.rs
+++ b/src/control/learned.rs
@@ -1,11 +1,16 @@
 //! What a router has learned, as one process hands it to the next. Nothing is decided here.
 
-use super::tables::{Function, Pool, Worker};
+use super::tables::{Function, Mark, Pool, Worker};
 use super::{Evidence, Router};
 use crate::api::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
+/// Times and counts above this are nonsense: three hours, in microseconds.
+const MOST_FIGURE: f64 = 1e10;
+/// Copies of one function at one worker, likewise.
+const MOST_COPIES: u32 = 1_024;
+
 /// What a router has learned.
 #[derive(Clone, Default, Serialize, Deserialize)]
 pub struct Learned {
@@ -19,6 +24,62 @@
 }
 
 impl Learned {
+    /// What of it another router may go on from, whose clock is `behind`: how long things take and where copies stand, by
+    /// age. What its owner alone may count on is left out: rations, own requests, breaks and refusals it met itself. None
+    /// where a figure is nonsense.
+    pub fn of_peer(self, behind: Micros) -> Option<Learned> {
+        let back = |at: Micros| at.saturating_sub(behind);
+        let time = |figure: f64| (0.0..=MOST_FIGURE).contains(&figure);
+        let sane = |e: &Evidence| e.sane(MOST_FIGURE);
+        let sound = |f: &Function| {
+            let told = f.told_load.iter().chain(&f.load).all(|t| time(*t));
+            told && time(f.run) && time(f.lanes) && sane(&f.seen) && sane(&f.found)
+        };
+        let usual = |p: &Pool| p.load.is_none_or(time) && time(p.run) && sane(&p.found);
+        let marks = |w: &Worker| w.marks.values().all(|m| m.copies <= MOST_COPIES);
+        let good = self.functions.iter().all(sound)
+            && self.pools.iter().all(usual)
+            && self.workers.iter().all(|w| sane(&w.slow) && marks(w));
+        if !good {
+            return None;
+        }
+        let classes = self.pools.len();
+        let mark =
+            |m: Mark| Mark { copies: m.copies, used: back(m.used), asked: back(m.asked), ..Mark::default() };
+        let worker = |w: Worker| Worker {
+            ready_at: w.ready_at.map(back),
+            marks: w.marks.into_iter().map(|(f, m)| (f, mark(m))).collect(),
+            slow: w.slow.earlier(behind),
+            lost: vec![Evidence::default(); classes],
+            heard: vec![0; classes],
+            id: w.id,
+            zone: w.zone,
+            cell: w.cell,
+            ..Worker::default()
+        };
+        let function = |f: Function| Function {
+            seen: f.seen.earlier(behind),
+            found: f.found.earlier(behind),
+            id: f.id,
+            class: f.class,
+            lanes: f.lanes,
+            told_load: f.told_load,
+            load: f.load,
+            run: f.run,
+            answers: f.answers,
+            served: f.served,
+            ..Function::default()
+        };
+        let pool =
+            |p: Pool| Pool { found: p.found.earlier(behind), run: p.run, load: p.load, ..Pool::default() };
+        Some(Learned {
+            workers: self.workers.into_iter().map(worker).collect(),
+            functions: self.functions.into_iter().map(function).collect(),
+            pools: self.pools.into_iter().map(pool).collect(),
+            ..Learned::default()
+        })
+    }
+
     /// Whether all that refers to something by its place refers to something that is there. Danger: a word from
     /// outside the program may hold anything.
     fn sound(&self, now: Micros) -> bool {
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -119,6 +119,15 @@
 }
 
 impl Worker {
+    /// A connection to it broke, or none came up. Danger: connections break while the process lives on. It is dead where
+    /// no new one comes up.
+    pub(super) fn cut_off(&mut self, now: Micros, refused: bool) {
+        if refused && self.broke > self.heard_any && self.broke < now {
+            self.forget_copies();
+        }
+        self.broke = now;
+    }
+
     /// Nothing stands there any more, as far as is known.
     pub(super) fn forget_copies(&mut self) {
         self.marks.values_mut().for_each(|m| *m = Mark { own: m.own, ..Mark::default() });
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -209,6 +209,11 @@
         self.router.divide(division);
     }
 
+    /// No connection to a worker came up that was only to be looked at.
+    pub fn unreached(&mut self, now: Micros, worker: &WorkerId) {
+        self.router.unreached(now, worker);
+    }
+
     /// The places of the classes that requests under way belong to.
     pub fn classes_in_use(&self) -> BTreeSet<usize> {
         self.held.values().map(|h| h.job.class).collect()
--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -112,6 +112,13 @@
     peers_stalls: "Times that this dispatcher stood still for longer than a probe may take.",
     peers_conflicts: "Names of peers seen at two addresses.",
     peers_alive: "Dispatchers alive, this one among them, as far as it knows.",
+    hints_told: "Executors whose death was seen here and told to peers.",
+    hints_heard: "Executors of whose death peers told, of which that was news.",
+    hints_looks: "Connections begun to look at executors of which peers told.",
+    hints_refused: "Of these, those that were refused.",
+    peers_words_given: "Words given to peers that start, of executors and what was learned.",
+    peers_lists_taken: "Lists of executors taken from a peer at the start.",
+    peers_lists_refused: "Lists of peers that were not taken: old, empty, doubled, or contradicting each other.",
     log_events_dropped: "Events that were not logged, for their number.",
     loop_lag_most_us: "The longest turn of the loop, in microseconds.",
 }
--- a/src/executor/mod.rs
+++ b/src/executor/mod.rs
@@ -5,4 +5,4 @@
 mod peer;
 mod pool;
 
-pub use pool::{Limits, Pool, Report};
+pub use pool::{Limits, Pool, Report, Sighting};
--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -65,6 +65,18 @@
     Order(u64, Outcome, u32),
 }
 
+/// Sightings that the host has not taken, at the most.
+const MOST_SIGHTINGS: usize = 64;
+
+/// What a connection's end tells of its executor, beside what it tells of the attempts on it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sighting {
+    /// The executor.
+    pub worker: WorkerId,
+    /// No connection came up, nor was anything sent on it: it was only looked at.
+    pub looked: bool,
+}
+
 /// The connections to all executors.
 pub struct Pool {
     owner: u8,
@@ -78,6 +90,8 @@
     counters: Rc<Counters>,
     /// What has come to its end, in order.
     pub reports: Vec<Report>,
+    /// Executors whose connections broke with something open on them, or did not come up.
+    pub sightings: Vec<Sighting>,
 }
 
 impl Pool {
@@ -93,6 +107,7 @@
             unread: 0,
             counters,
             reports: Vec::new(),
+            sightings: Vec::new(),
         }
     }
 
@@ -193,6 +208,27 @@
         }
     }
 
+    /// Begins a connection to an executor to which none stands, to find out whether one comes up; false where there is
+    /// nothing to find out.
+    pub fn look(&mut self, poll: &mut Poll, now: u64, worker: &WorkerId) -> bool {
+        let Some((address, State::Ready)) = self.listed.get(worker).copied() else { return false };
+        let stands = self.links.iter().any(|(_, l)| l.peer.worker == *worker && !l.peer.closing);
+        // Danger: a look must not cost a request its connection.
+        if stands || self.links.len() >= self.limits.connections {
+            return false;
+        }
+        if self.connect(poll, now, worker, address).is_err() {
+            self.sight(worker, true);
+        }
+        true
+    }
+
+    fn sight(&mut self, worker: &WorkerId, looked: bool) {
+        if self.sightings.len() < MOST_SIGHTINGS {
+            self.sightings.push(Sighting { worker: worker.clone(), looked });
+        }
+    }
+
     /// Gives an attempt up: its answer is waited for no more.
     pub fn halt(&mut self, poll: &Poll, now: u64, id: AttemptId) {
         let Some((slot, rid)) = self.attempts.remove(&id) else { return };
@@ -374,6 +410,10 @@
             Closed::Malformed(_) => count(&self.counters.executors_malformed),
             Closed::Broken => {}
         }
+        let refused = why == Closed::NoConnect;
+        if refused || (why == Closed::Broken && link.peer.awaiting() > 0 && !link.peer.closing) {
+            self.sight(&link.peer.worker, refused && link.peer.open.is_empty());
+        }
         let written = if link.io.connecting() { 0 } else { link.io.written };
         // Danger: a spoilt answer, or one cut off in the middle, ends the connection for all on it, but it does
         // not tell that the process died; taken for that, each would have all copies there believed lost.
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -45,6 +45,9 @@
     pub classes: Vec<String>,
     /// What the module has learned.
     pub learned: Learned,
+    /// Since when the name service has said nothing, in microseconds.
+    #[serde(default)]
+    pub age: u64,
 }
 
 /// What has changed between the two.
@@ -244,6 +247,16 @@
     pub fn new(now: u64, settings: &Settings, learned: Learned) -> Word {
         let classes = settings.classes.clone();
         let (to, executors, listed, attached) = (String::new(), vec![], vec![], vec![]);
-        Word { form: FORM, to, now, serial: 0, executors, listed, attached, classes, learned }
+        Word { form: FORM, to, now, serial: 0, executors, listed, attached, classes, learned, age: 0 }
+    }
+
+    /// The word as another member of the group is told it.
+    pub fn written(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    /// Reads another member's word. Danger: it may hold anything.
+    pub fn read(bytes: &[u8]) -> Option<Word> {
+        serde_json::from_slice(bytes).ok().filter(|w: &Word| w.form == FORM)
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -78,6 +78,8 @@
     /// The list as it was last told, and whether it is known to be that of now.
     executors: Vec<Executor>,
     known: bool,
+    /// When the name service last answered, or this process began.
+    heard_names: u64,
     /// Every id that was ever listed.
     listed: BTreeSet<WorkerId>,
     /// When executors were taken back into use: they start cold.
@@ -149,6 +151,7 @@
             bans,
             bans_at: now,
             known: !handover.shared() && !executors.is_empty(),
+            heard_names: now,
             handover,
             executors,
             listed: BTreeSet::new(),
@@ -232,7 +235,7 @@
             self.mqtt.due(),
             self.stream.as_ref().map_or(u64::MAX, Stream::due),
             self.stations.as_ref().map_or(u64::MAX, stations::Front::due),
-            self.peers.as_ref().map_or(u64::MAX, Peers::due),
+            self.peers_due(),
         ]);
         own.min().unwrap_or(u64::MAX).min(self.thrift.due()).min(self.resolver.due())
     }
@@ -255,12 +258,13 @@
                     self.relist();
                 }
                 self.known |= self.counters.dns_answers.get() > 0;
+                self.heard_names = self.now;
             }
             EXECUTORS => self.pool.ready(&mut self.poll, self.now, ready),
             THRIFT => self.thrift.ready(&mut self.poll, self.now, ready),
             DOOR => self.operators(ready),
             STREAM | KEEPER => self.stream_ready(ready),
-            PEERS => self.peers.iter_mut().for_each(|p| p.ready(self.now)),
+            PEERS => self.peers.iter_mut().for_each(|p| p.ready(&mut self.poll, self.now, ready)),
             STATIONS => {
                 if let Some(front) = &mut self.stations {
                     front.ready(&mut self.poll, self.now, ready);
--- /dev/null
+++ b/src/peers/hints.rs
@@ -0,0 +1,231 @@
+//! What one dispatcher sees of an executor on its own sockets, told to the others as a hint: it makes them look, and bans
+//! nobody. Decisions and state, without I/O, the clock passed in.
+//!
+//! Spread as a rumour that dies out (Demers and others: "Epidemic Algorithms for Replicated Database Maintenance", PODC
+//! 1987, section 1.4): whoever hears one passes it on for some rounds, each time to a few others drawn anew.
+
+use crate::api::{Micros, WorkerId};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// The channel of the membership's notes.
+pub const CHANNEL: u8 = 1;
+/// Others that a hint is passed on to in a round.
+pub const FANOUT: usize = 3;
+
+/// A round takes this long.
+const ROUND: Micros = 50_000;
+/// What is seen of one executor within this time is one event.
+const SAME: Micros = 1_000_000;
+/// What is older is told and heard no more.
+const STALE: Micros = 10_000_000;
+/// Executors of which something is kept.
+const MOST: usize = 1_024;
+/// The longest id that is told.
+const MOST_ID: usize = 128;
+/// Bytes of one note.
+const MOST_BYTES: usize = 800;
+/// Looks that may be made at once, and how long one takes to be allowed again. Danger: a peer that lies would have every
+/// dispatcher connect to every executor.
+const LOOKS: u32 = 16;
+const LOOK_EVERY: Micros = 100_000;
+/// A refused look is made once more after this: one refusal may be a full queue.
+const AGAIN: Micros = 300_000;
+
+/// A hint on its way.
+#[derive(Debug, Serialize, Deserialize)]
+struct Told {
+    worker: WorkerId,
+    age_ms: u32,
+}
+
+struct Rumour {
+    at: Micros,
+    /// Rounds in which it is still passed on.
+    left: u32,
+}
+
+/// Hints that were seen or heard, and the looks that come of them.
+#[derive(Default)]
+pub struct Hints {
+    rumours: BTreeMap<WorkerId, Rumour>,
+    next_round: Micros,
+    /// Looks in hand, and since when they come back.
+    looks: u32,
+    looks_at: Micros,
+    /// Looks to be made again.
+    again: VecDeque<(Micros, WorkerId)>,
+}
+
+impl Hints {
+    /// None yet.
+    pub fn new(now: Micros) -> Hints {
+        Hints { looks: LOOKS, looks_at: now, ..Hints::default() }
+    }
+
+    /// Something was seen here that tells of a death; true if it is news, and will be told.
+    pub fn seen(&mut self, now: Micros, worker: &WorkerId, others: usize) -> bool {
+        self.learn(now, now, worker, others)
+    }
+
+    /// Takes what another tells; the executors of which that is news.
+    pub fn heard(&mut self, now: Micros, bytes: &[u8], others: usize) -> Vec<WorkerId> {
+        let told: Vec<Told> = postcard::from_bytes(bytes).unwrap_or_default();
+        let at = |age_ms: u32| now.saturating_sub(u64::from(age_ms) * 1_000);
+        told.into_iter()
+            .filter(|t| self.learn(now, at(t.age_ms), &t.worker, others))
+            .map(|t| t.worker)
+            .collect()
+    }
+
+    fn learn(&mut self, now: Micros, at: Micros, worker: &WorkerId, others: usize) -> bool {
+        let known = self.rumours.get(worker).is_some_and(|r| at < r.at + SAME);
+        if known || at + STALE <= now || worker.is_empty() || worker.len() > MOST_ID {
+            return false;
+        }
+        if self.rumours.len() >= MOST && !self.rumours.contains_key(worker) {
+            let oldest = self.rumours.iter().min_by_key(|(_, r)| r.at).map(|(w, _)| w.clone());
+            if let Some(worker) = oldest {
+                self.rumours.remove(&worker);
+            }
+        }
+        // Reaches all but surely: each round multiplies those that know by up to one more than the fan-out.
+        let left = (others + 1).ilog2() + 2;
+        if self.rumours.values().all(|r| r.left == 0) {
+            self.next_round = now;
+        }
+        self.rumours.insert(worker.clone(), Rumour { at, left });
+        true
+    }
+
+    /// Whether a look at an executor may be made now; it is counted.
+    pub fn may_look(&mut self, now: Micros) -> bool {
+        let back = now.saturating_sub(self.looks_at) / LOOK_EVERY;
+        self.looks = (u64::from(self.looks) + back).min(u64::from(LOOKS)) as u32;
+        self.looks_at = if self.looks == LOOKS { now } else { self.looks_at + back * LOOK_EVERY };
+        let may = self.looks > 0;
+        self.looks -= u32::from(may);
+        may
+    }
+
+    /// A look was refused: it is made again, once.
+    pub fn refused(&mut self, now: Micros, worker: &WorkerId) {
+        let first = self.again.iter().all(|(_, w)| w != worker);
+        if first && self.again.len() < MOST {
+            self.again.push_back((now + AGAIN, worker.clone()));
+        }
+    }
+
+    /// An executor that is to be looked at again now.
+    pub fn look_again(&mut self, now: Micros) -> Option<WorkerId> {
+        self.again.pop_front_if(|(at, _)| *at <= now).map(|(_, worker)| worker)
+    }
+
+    /// When something is next to be done.
+    pub fn due(&self) -> Micros {
+        let round = self.rumours.values().any(|r| r.left > 0).then_some(self.next_round);
+        round.into_iter().chain(self.again.front().map(|(at, _)| *at)).min().unwrap_or(Micros::MAX)
+    }
+
+    /// What is to be told to [`FANOUT`] others now, if anything.
+    pub fn round(&mut self, now: Micros) -> Option<Vec<u8>> {
+        if now < self.next_round || self.rumours.values().all(|r| r.left == 0) {
+            return None;
+        }
+        self.next_round = now + ROUND;
+        self.rumours.retain(|_, r| r.at + STALE > now);
+        let mut fresh: Vec<(&WorkerId, &mut Rumour)> =
+            self.rumours.iter_mut().filter(|(_, r)| r.left > 0).collect();
+        // The least told goes first.
+        fresh.sort_by_key(|(_, r)| u32::MAX - r.left);
+        let (mut told, mut bytes) = (Vec::new(), 2);
+        for (worker, rumour) in fresh {
+            bytes += worker.len() + 7;
+            if bytes > MOST_BYTES {
+                break;
+            }
+            rumour.left -= 1;
+            let age_ms = (now.saturating_sub(rumour.at) / 1_000) as u32;
+            told.push(Told { worker: worker.clone(), age_ms });
+        }
+        postcard::to_stdvec(&told).ok().filter(|_| !told.is_empty())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand_pcg::Pcg32;
+    use rand_pcg::rand_core::{Rng, SeedableRng};
+
+    const T0: Micros = 1_000_000_000;
+
+    fn worker(n: usize) -> WorkerId {
+        format!("s{n}").into()
+    }
+
+    #[test]
+    fn a_hint_reaches_a_hundred_through_a_fifth_lost_and_dies_out() {
+        for seed in 0..50 {
+            let (mut rng, mut sent) = (Pcg32::seed_from_u64(seed), 0);
+            let mut all: Vec<Hints> = (0..100).map(|_| Hints::new(T0)).collect();
+            assert!(all[0].seen(T0, &worker(1), 99));
+            let mut knows = 1;
+            for round in 0..40 {
+                let now = T0 + round * ROUND;
+                let said: Vec<(usize, Vec<u8>)> =
+                    (0..100).filter_map(|n| Some((n, all[n].round(now)?))).collect();
+                for (n, bytes) in said {
+                    for _ in 0..FANOUT {
+                        let to = (n + 1 + rng.next_u32() as usize % 99) % 100;
+                        sent += 1;
+                        if rng.next_u32() % 100 >= 20 {
+                            knows += all[to].heard(now, &bytes, 99).len();
+                        }
+                    }
+                }
+            }
+            assert!(knows >= 99, "seed {seed}: {knows} know");
+            assert!(all.iter().all(|h| h.due() == Micros::MAX), "it dies out");
+            assert!(sent <= 100 * FANOUT * 8, "{sent} notes");
+        }
+    }
+
+    #[test]
+    fn what_is_seen_twice_is_one_event_and_a_later_death_another() {
+        let mut hints = Hints::new(T0);
+        assert!(hints.seen(T0, &worker(1), 9));
+        assert!(!hints.seen(T0 + SAME / 2, &worker(1), 9));
+        assert!(hints.seen(T0 + SAME, &worker(1), 9));
+        assert!(!hints.seen(T0, &"x".repeat(MOST_ID + 1).into(), 9));
+        let mut other = Hints::new(T0);
+        let bytes = hints.round(T0 + SAME).expect("told");
+        assert_eq!(other.heard(T0 + SAME, &bytes, 9), [worker(1)]);
+        assert!(other.heard(T0 + SAME, &bytes, 9).is_empty());
+        assert!(Hints::new(T0).heard(T0, &[255; 40], 9).is_empty(), "any bytes");
+    }
+
+    #[test]
+    fn a_liar_costs_a_bounded_number_of_looks_and_bounded_memory() {
+        let mut hints = Hints::new(T0);
+        let mut looks = 0;
+        for n in 0..5_000 {
+            let now = T0 + n as u64 * 1_000;
+            hints.seen(now, &worker(n), 9);
+            looks += usize::from(hints.may_look(now));
+        }
+        assert!(hints.rumours.len() <= MOST);
+        assert!(looks <= 16 + 50, "{looks} looks in 5 s");
+        assert!(hints.may_look(T0 + 10_000_000));
+    }
+
+    #[test]
+    fn a_refused_look_is_made_once_more() {
+        let mut hints = Hints::new(T0);
+        hints.refused(T0, &worker(1));
+        hints.refused(T0, &worker(1));
+        assert_eq!((hints.look_again(T0), hints.due()), (None, T0 + AGAIN));
+        assert_eq!(hints.look_again(T0 + AGAIN), Some(worker(1)));
+        assert_eq!(hints.look_again(T0 + AGAIN), None);
+    }
+}
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -4,24 +4,40 @@
 //! serves a request waits for anything here: a turn of the loop reads a bounded number of packets, and with all peers
 //! gone the program does what it does without them.
 
+mod exchange;
+mod hints;
 mod options;
 mod report;
+mod starting;
 
 pub use options::{MOST_SEEDS, Options};
 pub use report::{lines, report};
 
-use crate::counters::Counters;
-use crate::net::{Interest, Poll};
+use crate::api::WorkerId;
+use crate::counters::{Counters, count};
+use crate::handover::Word;
+use crate::net::{Interest, Poll, Ready, Token};
+use exchange::Exchange;
+use hints::Hints;
 use ochreward_membership::{Event, Membership, Own, Record, Serving};
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::{Rng, SeedableRng};
 use rustix::net::{AddressFamily, RecvFlags, SendFlags, SocketFlags, SocketType};
+use starting::{Offer, Starting, Step};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::rc::Rc;
+use std::sync::Arc;
 use tracing::{info, warn};
 
 /// Packets read in one turn of the loop; what is left makes the next turn come at once.
 const MOST_READ: usize = 64;
+/// Tries to find a port that is free for both UDP and TCP, where the system chooses.
+const PORTS: usize = 16;
+/// Words of peers that are kept while further ones are waited for.
+const MOST_WORDS: usize = 4;
 
 /// How a common budget is divided: among so many that serve, into so many parts, and which part is ours.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,11 +64,20 @@
     pub seed: u64,
 }
 
-/// The socket and the machine.
+/// The sockets and the machines.
 pub struct Peers {
     fd: OwnedFd,
+    token: Token,
     address: SocketAddr,
     machine: Membership,
+    exchange: Exchange,
+    hints: Hints,
+    /// Executors that others have told of, to be looked at.
+    looks: Vec<WorkerId>,
+    /// The search for a list while the name service is silent, and the words that came.
+    starting: Starting,
+    words: BTreeMap<Arc<str>, Word>,
+    rng: Pcg32,
     division: Option<Division>,
     /// The machine has taken or done something since the division was last looked at.
     touched: bool,
@@ -72,11 +97,16 @@
         counters: Rc<Counters>,
     ) -> io::Result<Peers> {
         let listen = options.address(start.name);
-        let family = if listen.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
-        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-        let fd = rustix::net::socket_with(family, SocketType::DGRAM, flags, None)?;
-        rustix::net::bind(&fd, &listen)?;
-        let address = SocketAddr::try_from(rustix::net::getsockname(&fd)?)?;
+        let (mut tries, group) = (if listen.port() == 0 { PORTS } else { 1 }, &options.settings.group);
+        let (fd, address, exchange) = loop {
+            tries -= 1;
+            let (fd, address) = datagrams(listen)?;
+            match Exchange::new(poll, owner, address, group) {
+                Ok(exchange) => break (fd, address, exchange),
+                Err(_) if tries > 0 => {}
+                Err(e) => return Err(e),
+            }
+        };
         let token = poll.token(owner, 0);
         poll.add(&fd, token, Interest { read: true, write: false })?;
         let record = Record {
@@ -95,8 +125,23 @@
         let mut settings = options.settings.clone();
         settings.expected = start.expected;
         let machine = Membership::new(own, settings, options.seeds.clone(), start.seed, now);
-        let (division, touched, name) = (None, true, start.name.to_string());
-        Ok(Peers { fd, address, machine, division, touched, name, record, counters })
+        Ok(Peers {
+            fd,
+            token,
+            address,
+            machine,
+            exchange,
+            hints: Hints::new(now),
+            looks: Vec::new(),
+            starting: Starting::default(),
+            words: BTreeMap::new(),
+            rng: Pcg32::seed_from_u64(start.seed),
+            division: None,
+            touched: true,
+            name: start.name.to_string(),
+            record,
+            counters,
+        })
     }
 
     /// Where it is heard.
@@ -104,8 +149,17 @@
         self.address
     }
 
+    /// Handles what happened to a descriptor.
+    pub fn ready(&mut self, poll: &mut Poll, now: u64, ready: Ready) {
+        if ready.token == self.token {
+            self.read(now);
+        } else {
+            self.exchange.ready(poll, now, ready);
+        }
+    }
+
     /// Reads packets, a bounded number of them.
-    pub fn ready(&mut self, now: u64) {
+    fn read(&mut self, now: u64) {
         // Danger: after a pause, what waited in the socket is older than it looks; the clock is looked at first.
         if self.machine.due() <= now {
             self.machine.advance(now);
@@ -122,20 +176,147 @@
                 self.machine.received(now, from, packet);
             }
         }
+        self.hear(now);
         self.carry();
     }
 
     /// Does what is due.
     pub fn advance(&mut self, now: u64) {
-        if self.machine.due() <= now {
+        let due = self.machine.due() <= now;
+        if due {
             self.machine.advance(now);
+        }
+        let told = self.hints.round(now);
+        told.iter().for_each(|bytes| self.spread(now, hints::CHANNEL, hints::FANOUT, bytes));
+        if due || told.is_some() {
             self.carry();
         }
+        self.exchange.advance(now);
     }
 
     /// When `advance` next has something to do.
     pub fn due(&self) -> u64 {
-        self.machine.due()
+        self.machine.due().min(self.hints.due()).min(self.exchange.due())
+    }
+
+    /// Takes what other parts of the program said elsewhere.
+    fn hear(&mut self, now: u64) {
+        let others = self.machine.alive().saturating_sub(1);
+        while let Some(note) = self.machine.notes.pop_front() {
+            if note.channel == hints::CHANNEL {
+                let news = self.hints.heard(now, &note.bytes, others);
+                self.counters.hints_heard.set(self.counters.hints_heard.get() + news.len() as u64);
+                self.looks.extend(news);
+            }
+        }
+    }
+
+    /// Tells so many others, drawn anew each time.
+    fn spread(&mut self, now: u64, channel: u8, most: usize, bytes: &[u8]) {
+        let mut up: Vec<Arc<str>> = self
+            .machine
+            .members()
+            .filter(|m| m.is_up() && m.heard.is_some())
+            .map(|m| m.name.clone())
+            .collect();
+        for at in 0..most.min(up.len()) {
+            let other = at + self.rng.next_u32() as usize % (up.len() - at);
+            up.swap(at, other);
+            self.machine.note(now, &up[at], channel, bytes.to_vec());
+        }
+    }
+
+    // ---- Hints of executors' deaths ----
+
+    /// An executor's connection broke here, or none came up: the others are told.
+    pub fn sighted(&mut self, now: u64, worker: &WorkerId) {
+        if self.hints.seen(now, worker, self.machine.alive().saturating_sub(1)) {
+            count(&self.counters.hints_told);
+        }
+    }
+
+    /// An executor that is to be looked at now.
+    pub fn look(&mut self, now: u64) -> Option<WorkerId> {
+        let worker = self.hints.look_again(now).or_else(|| self.looks.pop())?;
+        if !self.hints.may_look(now) {
+            self.looks.clear();
+            return None;
+        }
+        Some(worker)
+    }
+
+    /// A look was refused.
+    pub fn refused(&mut self, now: u64, worker: &WorkerId) {
+        count(&self.counters.hints_refused);
+        self.hints.refused(now, worker);
+    }
+
+    // ---- The list of executors from a peer ----
+
+    /// Looks for a list among peers, the name service having been silent; a word that is to be taken.
+    pub fn seek_list(&mut self, poll: &mut Poll, now: u64) -> Option<(Arc<str>, Word)> {
+        for (from, line) in std::mem::take(&mut self.exchange.outcomes) {
+            let Some(word) = line.and_then(|l| Word::read(&l)) else {
+                self.starting.failed(&from);
+                continue;
+            };
+            let (serial, age, executors) = (word.serial, word.age, word.executors.clone());
+            // Danger: words are large. One that finds no place is as good as not told.
+            let room = self.words.len() < MOST_WORDS || self.words.contains_key(&from);
+            if !room {
+                self.starting.failed(&from);
+            } else if self.starting.offered(now, Offer { from: from.clone(), serial, age, executors }) {
+                self.words.insert(from, word);
+            }
+        }
+        let serves = |m: &&ochreward_membership::Member| {
+            m.is_up() && m.heard.is_some() && m.record.serving == Serving::Serves
+        };
+        let mut up: Vec<Arc<str>> = self.machine.members().filter(serves).map(|m| m.name.clone()).collect();
+        if !up.is_empty() {
+            // Not all of those that start at once ask the same.
+            let first = self.machine.own().instance as usize % up.len();
+            up.rotate_left(first);
+        }
+        let taken = loop {
+            match self.starting.step(now, &up) {
+                Step::Wait => break None,
+                Step::Take(from) => break self.words.remove_entry(&from),
+                Step::Ask(member) => {
+                    let Some(to) = self.machine.members().find(|m| m.name == member).map(|m| m.address)
+                    else {
+                        self.starting.failed(&member);
+                        continue;
+                    };
+                    self.exchange.ask(poll, now, &self.name, &member, to);
+                }
+            }
+        };
+        self.counters.peers_lists_refused.set(self.starting.refused);
+        if self.starting.is_empty() {
+            self.words.clear();
+        }
+        if taken.is_some() {
+            self.words.clear();
+            count(&self.counters.peers_lists_taken);
+        }
+        taken
+    }
+
+    /// When a silent name service makes peers be asked for the list, after the start.
+    pub fn patience() -> u64 {
+        starting::SILENT
+    }
+
+    /// Whether a peer waits for what this dispatcher knows.
+    pub fn wants_word(&mut self, poll: &Poll, now: u64) -> bool {
+        self.exchange.wants_word(poll, now)
+    }
+
+    /// What this dispatcher knows, for all that wait.
+    pub fn give_word(&mut self, poll: &Poll, now: u64, word: Vec<u8>) {
+        count(&self.counters.peers_words_given);
+        self.exchange.give(poll, now, word);
     }
 
     /// How a common budget is divided, if that has changed.
@@ -145,7 +326,7 @@
             return None;
         }
         let parts = self.machine.divisor(now);
-        let alive = self.machine.agreement().alive;
+        let alive = self.machine.alive();
         let division = Division { alive, parts, place: self.machine.place().min(parts.saturating_sub(1)) };
         let changed = self.division != Some(division);
         self.division = Some(division);
@@ -208,6 +389,16 @@
         c.peers_denials.set(stats.denials);
         c.peers_stalls.set(stats.stalls);
         c.peers_conflicts.set(stats.conflicts);
-        c.peers_alive.set(self.machine.agreement().alive as u64);
+        c.peers_alive.set(self.machine.alive() as u64);
     }
 }
+
+/// A socket for datagrams, and its address.
+fn datagrams(listen: SocketAddr) -> io::Result<(OwnedFd, SocketAddr)> {
+    let family = if listen.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+    let fd = rustix::net::socket_with(family, SocketType::DGRAM, flags, None)?;
+    rustix::net::bind(&fd, &listen)?;
+    let address = SocketAddr::try_from(rustix::net::getsockname(&fd)?)?;
+    Ok((fd, address))
+}
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -318,3 +318,169 @@
     fleet.until_served(&[0, 1, 2, 3]);
     fleet.judge();
 }
+
+#[test]
+fn one_that_others_remember_with_a_higher_incarnation_comes_back_all_the_same() {
+    let _place = place();
+    let mut fleet = Fleet::start(17, 5);
+    fleet.kill(4);
+    fleet.until_of(&[0, 1, 2, 3], "the others miss it", |v| v["silent"] == 1);
+    // What they remember is an hour ahead: the clock of the one that comes back has stepped back.
+    let known = fleet.view(0);
+    let before =
+        known["members"].as_array().into_iter().flatten().find(|m| m["name"] == "n4").expect("known");
+    let ahead = before["incarnation"].as_u64().expect("a number") + 3_600_000;
+    let own = Claim {
+        name: "n4".into(),
+        address: fleet.relay.address(4),
+        instance: 7,
+        incarnation: ahead,
+        state: State::Alive,
+        record: Record::default(),
+    };
+    let header = Header { group: wire::group("ochreward"), own, stamp: 1, digest: 0, alive: 5, load: 0 };
+    let (packet, _) = wire::write(&header, &Body::Claims, &[]);
+    (0..4).for_each(|to| fleet.relay.forge(4, to, &packet));
+    fleet.until_of(&[0, 1, 2, 3], "they hold the higher one", |v| {
+        let of = v["members"].as_array().into_iter().flatten().find(|m| m["name"] == "n4");
+        of.is_some_and(|m| m["incarnation"].as_u64() >= Some(ahead))
+    });
+    fleet.restart(4);
+    all_see(&fleet, 5);
+    fleet.until_of(&[0, 1, 2, 3], "its word goes beyond what was remembered", |v| {
+        let of = v["members"].as_array().into_iter().flatten().find(|m| m["name"] == "n4");
+        of.is_some_and(|m| m["state"] == "alive" && m["incarnation"].as_u64() > Some(ahead))
+    });
+    shares_hold(&fleet);
+    fleet.judge();
+}
+
+#[test]
+fn a_worker_that_dies_under_one_is_looked_at_by_all() {
+    let _place = place();
+    let mut fleet = Fleet::start(18, 5);
+    fleet.until_served(&[0, 1, 2, 3, 4]);
+    let used = (0..3).max_by_key(|w| fleet.workers[*w].tries()).unwrap_or(0);
+    fleet.kill_worker(used);
+    // Whoever sends to it next tells the others; those to which no connection stands look, and find it refused.
+    fleet.until_so("one has told", || (0..5).any(|n| fleet.counter(n, "hints_told") > 0));
+    fleet.until_so("all know", || {
+        (0..5).all(|n| fleet.counter(n, "hints_told") + fleet.counter(n, "hints_heard") > 0)
+    });
+    fleet.until_served(&[0, 1, 2, 3, 4]);
+    fleet.restart_worker(used);
+    fleet.until_served(&[0, 1, 2, 3, 4]);
+    fleet.judge();
+}
+
+#[test]
+fn hints_of_a_liar_make_others_look_and_cost_no_request() {
+    let _place = place();
+    let mut fleet = Fleet::start(19, 5);
+    fleet.kill(4);
+    let address = fleet.relay.address(4);
+    let own = Claim {
+        name: "liar".into(),
+        address,
+        instance: 7,
+        incarnation: 1,
+        state: State::Alive,
+        record: Record::default(),
+    };
+    let before: Vec<u64> = fleet.workers.iter().map(|w| w.accepted()).collect();
+    for round in 0..300_u64 {
+        // Sound workers, one after the other, and some that nobody knows; as postcard writes a list of (id, age).
+        let mut bytes = vec![4];
+        for id in ["s0", "s1", "s2", &format!("x{round}")] {
+            bytes.push(id.len() as u8);
+            bytes.extend(id.bytes());
+            bytes.push(0);
+        }
+        let header = Header {
+            group: wire::group("ochreward"),
+            own: own.clone(),
+            stamp: round + 1,
+            digest: 0,
+            alive: 5,
+            load: 0,
+        };
+        let (packet, _) = wire::write(&header, &Body::Note { channel: 1, bytes }, &[]);
+        (0..4).for_each(|to| fleet.relay.forge(4, to, &packet));
+    }
+    fleet.until_so("all have heard it", || (0..4).all(|n| fleet.counter(n, "hints_heard") >= 3));
+    fleet.until_served(&[0, 1, 2, 3]);
+    for n in 0..4 {
+        assert_eq!(fleet.counter(n, "hints_refused"), 0, "the workers are well\n{}", fleet.history);
+        assert!(fleet.counter(n, "hints_looks") <= 100, "looks are bounded\n{}", fleet.history);
+    }
+    let after: u64 = fleet.workers.iter().map(|w| w.accepted()).sum();
+    assert!(after - before.iter().sum::<u64>() <= 400, "connections to workers are bounded");
+    fleet.judge();
+}
+
+#[test]
+fn one_that_starts_while_the_name_service_is_silent_goes_on_from_a_peers_list() {
+    let _place = place();
+    let mut fleet = Fleet::start(20, 5);
+    fleet.kill(4);
+    fleet.listless(4);
+    fleet.restart(4);
+    all_see(&fleet, 5);
+    fleet.until_so("it has taken a list", || fleet.counter(4, "peers_lists_taken") == 1);
+    fleet.until_served(&[4]);
+    assert_eq!(fleet.counter(4, "dns_answers"), 0);
+    assert!(fleet.history.count("goes on from a peer's list") == 1, "{}", fleet.history);
+    fleet.judge();
+}
+
+#[test]
+fn words_that_are_throttled_reset_or_never_come_keep_no_one_from_a_list() {
+    let _place = place();
+    let mut fleet = Fleet::start(21, 5);
+    fleet.kill(4);
+    fleet.listless(4);
+    // At first each word to it comes a byte at a time, then breaks off, then does not come at all.
+    fleet.relay.faults(|f| {
+        f.throttled.insert(4, Duration::from_millis(20));
+    });
+    fleet.restart(4);
+    fleet.until_so("it has asked, a byte at a time", || fleet.relay.connections(4) >= 2);
+    fleet.relay.faults(|f| {
+        f.throttled.clear();
+        f.reset.insert(4, 100);
+    });
+    let asked = fleet.relay.connections(4);
+    fleet.until_so("it has asked others, cut off", || fleet.relay.connections(4) > asked);
+    let asked = fleet.relay.connections(4);
+    fleet.relay.faults(|f| {
+        f.reset.clear();
+        f.silent.extend((0..4).map(|n| (n, 4)));
+    });
+    fleet.until_so("it asks again, and hears nothing", || fleet.relay.connections(4) > asked);
+    assert_eq!(fleet.counter(4, "peers_lists_taken"), 0, "no whole word has come\n{}", fleet.history);
+    fleet.until_served(&[0, 1, 2, 3]);
+    fleet.heal();
+    fleet.until_so("it has taken a list", || fleet.counter(4, "peers_lists_taken") == 1);
+    fleet.until_served(&[4]);
+    fleet.judge();
+}
+
+#[test]
+fn lists_that_contradict_each_other_are_not_taken_and_the_name_services_wins() {
+    let _place = place();
+    let mut fleet = Fleet::start(22, 5);
+    fleet.kill(4);
+    // Two of those that it may ask have another list of the same number than the other two.
+    let known = fleet.workers.iter().map(|w| w.address).collect::<Vec<_>>();
+    let lists: [Vec<(&str, std::net::SocketAddr, u16)>; 2] =
+        [vec![("s0", known[0], 0), ("s1", known[1], 0)], vec![("s0", known[0], 0), ("s2", known[2], 0)]];
+    fleet.lists_told([&lists[0], &lists[1]]);
+    fleet.listless(4);
+    fleet.restart(4);
+    fleet.until_so("it has turned lists down", || fleet.counter(4, "peers_lists_refused") >= 2);
+    assert_eq!(fleet.counter(4, "peers_lists_taken"), 0, "{}", fleet.history);
+    fleet.lists_told([&lists[0], &lists[0]]);
+    fleet.until_so("it has taken a list", || fleet.counter(4, "peers_lists_taken") == 1);
+    fleet.until_served(&[4]);
+    fleet.judge();
+}
