Circuits: one trial of a dead worker at a time in the fleet, then a ramp; looks end after the second

Seen, by a new case that counts connections to a dead worker: 45 to 68 in four seconds from five dispatchers. Each refused look was looked at again every 300 ms without end, and told to the others as if it were news. Ruled out: the requests themselves (four trials) and the gates (closed for all but their trials). Cause: Hints::refused put a second look in line for each refusal, its own second look's among them; what a look found was spread like what a request found. Need besides: workers that come back are stormed by all at once. Change: one second look for a first one, no look at the same worker for 5 s, nothing told of looks. crates/budget/src/circuit.rs: a circuit opens by what was seen here, its owner by rendezvous hash makes a trial, the next one if it makes none; refused trials put others' off, eight times at the most; an answer is told and begins a ramp of the whole fleet's rate; half of all workers shut opens all. `ramp_ms`, `trial_ms` of [overload]; off without. Figures: connections to the dead worker in four seconds within trials and two looks each (15); four trials; 1 to 45 requests in the first second after its return, bounded by the case.

--- a/benches/overload.rs
+++ b/benches/overload.rs
@@ -4,6 +4,7 @@
 //! non-zero if a bound is missed.
 
 use ochreward_rig::fleet::{Fleet, Setup};
+use ochreward_rig::load::Manner;
 use ochreward_rig::worker::Power;
 use std::time::{Duration, Instant};
 
@@ -19,7 +20,7 @@
         overload: if level { "[overload]\nqueue_ms = 100\nstay_ms = 300\n".into() } else { String::new() },
         credits: CREDITS,
         clients: CLIENTS / dispatchers,
-        stays_away: Duration::from_millis(200),
+        manner: Manner { stays_away: Duration::from_millis(200), ..Manner::default() },
         strict: false,
         ..Setup::default()
     }
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -6,6 +6,7 @@
 //!   File Cache Consistency", SOSP 1989, section 2, with the bound on clock rates of section 5). At every instant, in every
 //!   cut, stall, crash and restart, what all together may spend is the whole at the most; `tests/model.rs` checks that.
 //! - [`Bucket`]: spends a rate.
+//! - [`Circuits`]: workers that failed, taken back by one trial at a time and a ramp.
 //! - [`Queueing`]: how long requests queue at workers, as a dispatcher sees it (CoDel: Nichols, Jacobson, RFC 8289).
 //! - [`Admission`]: the lowest worth that is let in (DAGOR: Zhou and others: "Overload Control for Scaling WeChat
 //!   Microservices", SoCC 2018, section 4), as the members of a fleet agree on it.
@@ -30,12 +31,14 @@
 
 pub mod admission;
 mod bucket;
+pub mod circuit;
 mod ledger;
 mod queueing;
 pub mod wire;
 
 pub use admission::Admission;
 pub use bucket::Bucket;
+pub use circuit::Circuits;
 pub use ledger::{Ask, Grant, Ledger, MOST_ASKED, MOST_LEASES, Rules, Terms};
 pub use queueing::Queueing;
 
--- a/crates/budget/src/wire.rs
+++ b/crates/budget/src/wire.rs
@@ -2,6 +2,7 @@
 
 use crate::{Ask, Grant};
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// A word.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -12,6 +13,10 @@
     Grant(u8, Grant),
     /// The sender's wish for the level of admission.
     Wish(u8),
+    /// A worker answered the sender again, so many milliseconds ago.
+    Back(Arc<str>, u32),
+    /// A trial of a worker by the sender was refused.
+    Tried(Arc<str>),
 }
 
 impl Word {
@@ -35,7 +40,13 @@
     fn what_is_written_is_read() {
         let ask = Ask { instance: u64::MAX, number: 1, amount: 2, lease: 3, worth: 4 };
         let grant = Grant { instance: 1, number: 2, amount: 3, lease: 4 };
-        for word in [Word::Ask(0, ask), Word::Grant(0, grant), Word::Wish(9)] {
+        for word in [
+            Word::Ask(0, ask),
+            Word::Grant(0, grant),
+            Word::Wish(9),
+            Word::Back("s1".into(), 7),
+            Word::Tried("s1".into()),
+        ] {
             let bytes = word.written();
             assert_eq!(Word::read(&bytes), Some(word));
             assert_eq!(Word::read(&bytes[..bytes.len() - 1]), None);
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -1,7 +1,7 @@
 //! A group of real dispatchers that know each other, with workers, a name service and clients.
 
 use crate::history::{History, judge};
-use crate::load::{Asker, run_twice};
+use crate::load::{Asker, Manner, run_twice};
 use crate::relay::Relay;
 use crate::stand::{self, Names, PATIENCE, Program};
 use crate::worker::{Power, Worker};
@@ -30,10 +30,10 @@
     pub older: Vec<usize>,
     /// What a request of each class is worth.
     pub credits: [f64; 3],
-    /// Clients of each dispatcher, and how long they stay away that are turned away.
+    /// Clients of each dispatcher, and how they behave.
     pub clients: usize,
     /// See `clients`.
-    pub stays_away: Duration,
+    pub manner: Manner,
     /// Whether every request of a dispatcher that was not killed must be served.
     pub strict: bool,
 }
@@ -47,7 +47,7 @@
             older: Vec::new(),
             credits: [1.0; 3],
             clients: 1,
-            stays_away: Duration::ZERO,
+            manner: Manner::default(),
             strict: true,
         }
     }
@@ -142,7 +142,7 @@
             let to = fleet.programs[n].as_ref().map(|p| p.address);
             let clients = 0..fleet.setup.clients as u64;
             let salt = |c: u64| (seed << 10 | c << 4 | n as u64) & 0xffff;
-            fleet.askers.push(clients.map(|c| Asker::start(salt(c), to, fleet.setup.stays_away)).collect());
+            fleet.askers.push(clients.map(|c| Asker::start(salt(c), to, fleet.setup.manner)).collect());
         }
         fleet
     }
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -42,6 +42,21 @@
 /// The classes that clients ask for in turn.
 pub const CLASSES: [&str; 3] = ["flow-read", "level-log", "alert-send"];
 
+/// How a client behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Manner {
+    /// It stays away for so long when it is refused.
+    pub stays_away: Duration,
+    /// The time of a load that it tells, in milliseconds.
+    pub load_ms: u64,
+}
+
+impl Default for Manner {
+    fn default() -> Manner {
+        Manner { stays_away: Duration::ZERO, load_ms: 640 }
+    }
+}
+
 /// A client of one dispatcher, wherever that is at the moment.
 pub struct Asker {
     books: Arc<Books>,
@@ -51,13 +66,12 @@
 }
 
 impl Asker {
-    /// Asks from now on, one request after the other, each with a number of its own under `salt`; stays away for so long when it is
-    /// refused.
-    pub fn start(salt: u64, to: Option<SocketAddr>, away: Duration) -> Asker {
+    /// Asks from now on, one request after the other, each with a number of its own under `salt`.
+    pub fn start(salt: u64, to: Option<SocketAddr>, manner: Manner) -> Asker {
         let (books, over) = (Arc::<Books>::default(), Arc::<AtomicBool>::default());
         let to = Arc::new(Mutex::new(to));
         let (own, place, end) = (books.clone(), to.clone(), over.clone());
-        let thread = Some(std::thread::spawn(move || ask(salt, away, &own, &place, &end)));
+        let thread = Some(std::thread::spawn(move || ask(salt, manner, &own, &place, &end)));
         Asker { books, to, over, thread }
     }
 
@@ -85,7 +99,7 @@
     }
 }
 
-fn ask(salt: u64, away: Duration, books: &Books, place: &Mutex<Option<SocketAddr>>, over: &AtomicBool) {
+fn ask(salt: u64, manner: Manner, books: &Books, place: &Mutex<Option<SocketAddr>>, over: &AtomicBool) {
     let (mut number, mut client, mut at, mut seq) = (0_u64, None::<Client>, None, 0);
     let bump = |cell: &AtomicU64| {
         cell.fetch_add(1, Ordering::SeqCst);
@@ -105,7 +119,9 @@
         let class = CLASSES[place_of_class];
         let id = format!("{salt:04x}{number:012x}");
         let body = id.clone().into_bytes();
-        if open.try_serve(seq, &fields(class, &id, 20_000), &body).is_err() {
+        let mut told = fields(class, &id, 20_000);
+        told.insert("info".to_string(), format!("memory_mb:512;lanes:2;load_ms:{}", manner.load_ms));
+        if open.try_serve(seq, &told, &body).is_err() {
             client = None;
             continue;
         }
@@ -120,7 +136,7 @@
                 bump(&books.other);
                 if matches!(reply, Reply::Refused(_)) {
                     bump(&books.classes[place_of_class][1]);
-                    std::thread::sleep(away);
+                    std::thread::sleep(manner.stays_away);
                 }
             }
             None => {
--- a/crates/rig/src/worker.rs
+++ b/crates/rig/src/worker.rs
@@ -51,6 +51,8 @@
     held: usize,
     most_held: usize,
     serial: u64,
+    /// When requests came since it last began.
+    came: Vec<Instant>,
     connections: BTreeMap<usize, TcpStream>,
     runs: BTreeMap<String, Run>,
 }
@@ -119,7 +121,7 @@
         work.connections.values().for_each(|c| drop(c.shutdown(Shutdown::Both)));
         work.connections.clear();
         work.due.clear();
-        (work.held, work.free) = (0, Vec::new());
+        (work.held, work.free, work.came) = (0, Vec::new(), Vec::new());
     }
 
     /// Stands at the same address again, knowing nothing.
@@ -143,6 +145,12 @@
         self.shared.tries.load(Ordering::SeqCst)
     }
 
+    /// Requests within so long after the first since it last began.
+    pub fn within(&self, time: Duration) -> usize {
+        let work = self.shared.work.lock().expect("work");
+        work.came.first().map_or(0, |first| work.came.iter().filter(|at| **at < *first + time).count())
+    }
+
     /// Requests that it turned away.
     pub fn turned_away(&self) -> u64 {
         self.shared.turned_away.load(Ordering::SeqCst)
@@ -201,6 +209,9 @@
         let mut work = self.work.lock().expect("work");
         let now = Instant::now();
         let full = work.held >= power.lanes + power.queue;
+        if work.came.len() < 100_000 {
+            work.came.push(now);
+        }
         let run = work.runs.entry(rid.clone()).or_default();
         run.class = word(&line["attrs"]["c"]);
         run.tries += 1;
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -225,7 +225,16 @@
 }
 
 fn read_overload(key: &Key, hold: u64) -> overload::Options {
-    key.only(&["resends_per_s", "orders_per_s", "floor_percent", "lease_ms", "queue_ms", "stay_ms"]);
+    key.only(&[
+        "resends_per_s",
+        "orders_per_s",
+        "floor_percent",
+        "lease_ms",
+        "queue_ms",
+        "stay_ms",
+        "ramp_ms",
+        "trial_ms",
+    ]);
     let lease = key.get("lease_ms").between(100, 60_000, 2_000) * 1_000;
     let least = key.get("lease_ms");
     let (resends, orders) =
@@ -242,6 +251,8 @@
         lease,
         queue: key.get("queue_ms").between(0, 60_000, 0) * 1_000,
         stay: key.get("stay_ms").between(100, 600_000, 1_000) * 1_000,
+        ramp: key.get("ramp_ms").between(0, 600_000, 0) * 1_000,
+        trial: key.get("trial_ms").between(20, 60_000, 250) * 1_000,
     }
 }
 
--- a/src/control/purse.rs
+++ b/src/control/purse.rs
@@ -6,6 +6,7 @@
 use crate::api::*;
 use ochreward_budget::admission;
 use rand_pcg::rand_core::Rng;
+use std::collections::BTreeMap;
 
 /// Tokens of one budget.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -30,8 +31,10 @@
 }
 
 /// What is left.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Purse {
+    /// Workers that the fleet takes back with care: how many requests each may get now, and how many it got.
+    pub gates: BTreeMap<WorkerId, (u64, u64)>,
     /// Second and later tries at workers; `None`: the fleet has no budget for them.
     pub resends: Option<Tokens>,
     /// Orders to load.
@@ -62,6 +65,18 @@
         tokens.take()
     }
 
+    /// Whether a worker may get a request now.
+    pub(super) fn open(&self, worker: &WorkerId) -> bool {
+        self.gates.get(worker).is_none_or(|(left, _)| *left > 0)
+    }
+
+    /// It gets one.
+    pub(super) fn enter(&mut self, worker: &WorkerId) {
+        if let Some((left, got)) = self.gates.get_mut(worker) {
+            (*left, *got) = (left.saturating_sub(1), *got + 1);
+        }
+    }
+
     /// Whether an order to load may be given.
     pub(super) fn order(&mut self) -> bool {
         self.orders.as_mut().is_none_or(Tokens::take)
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -129,6 +129,7 @@
 }
 
 struct Attempt {
+    worker: WorkerId,
     sent: Micros,
     open: bool,
 }
@@ -169,8 +170,8 @@
     counters: Rc<Counters>,
     /// What is to be done, in order.
     pub commands: VecDeque<Command>,
-    /// Answers of workers while that is watched: of which kind, and after how long; none: turned away.
-    pub answers: Vec<(u64, Option<Micros>)>,
+    /// Answers of workers while that is watched: whose, of which kind, and after how long; none: turned away.
+    pub answers: Vec<(WorkerId, u64, Option<Micros>)>,
     watched: bool,
 }
 
@@ -378,7 +379,7 @@
             held.job.function.hash(&mut kind);
             let took = (ended.outcome == Outcome::Ok && ended.found != Found::BeganLoad).then_some(latency);
             if took.is_some() || ended.outcome == Outcome::Full {
-                self.answers.push((kind.finish(), took));
+                self.answers.push((attempt.worker.clone(), kind.finish(), took));
             }
         }
         if ended.outcome == Outcome::Ok {
@@ -480,7 +481,7 @@
         let number = held.attempts.len();
         let until = until.unwrap_or(held.deadline).min(held.deadline);
         let legal = !held.settled && number < held.most && until > now;
-        held.attempts.push(Attempt { sent: now, open: legal });
+        held.attempts.push(Attempt { worker: worker.clone(), sent: now, open: legal });
         if !legal {
             let last = held.settled;
             count(&self.counters.ended_moot);
--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -73,7 +73,9 @@
 pub struct Sighting {
     /// The executor.
     pub worker: WorkerId,
-    /// No connection came up, nor was anything sent on it: it was only looked at.
+    /// No connection came up.
+    pub refused: bool,
+    /// Nor was anything to be sent on it: it was only looked at.
     pub looked: bool,
 }
 
@@ -218,14 +220,14 @@
             return false;
         }
         if self.connect(poll, now, worker, address).is_err() {
-            self.sight(worker, true);
+            self.sight(worker, true, true);
         }
         true
     }
 
-    fn sight(&mut self, worker: &WorkerId, looked: bool) {
+    fn sight(&mut self, worker: &WorkerId, refused: bool, looked: bool) {
         if self.sightings.len() < MOST_SIGHTINGS {
-            self.sightings.push(Sighting { worker: worker.clone(), looked });
+            self.sightings.push(Sighting { worker: worker.clone(), refused, looked });
         }
     }
 
@@ -412,7 +414,7 @@
         }
         let refused = why == Closed::NoConnect;
         if refused || (why == Closed::Broken && link.peer.awaiting() > 0 && !link.peer.closing) {
-            self.sight(&link.peer.worker, refused && link.peer.open.is_empty());
+            self.sight(&link.peer.worker, refused, refused && link.peer.open.is_empty());
         }
         let written = if link.io.connecting() { 0 } else { link.io.written };
         // Danger: a spoilt answer, or one cut off in the middle, ends the connection for all on it, but it does
--- a/src/node/listing.rs
+++ b/src/node/listing.rs
@@ -32,6 +32,9 @@
             self.settings.vocabulary.listing(e, ready_at)
         };
         let entries = executors.iter().map(listing).collect();
+        if let Some(overload) = &mut self.overload {
+            overload.listed(executors.iter().map(|e| e.id.clone()).collect());
+        }
         self.engine.list(self.now, entries);
     }
 }
--- a/src/node/overload.rs
+++ b/src/node/overload.rs
@@ -8,8 +8,8 @@
     /// Takes what other dispatchers said, does what is due, and tells the module what it may spend.
     pub(super) fn overload_advance(&mut self) {
         let Some(overload) = &mut self.overload else { return };
-        for (kind, took) in self.engine.answers.drain(..) {
-            overload.answered(self.now, kind, took);
+        for (worker, kind, took) in self.engine.answers.drain(..) {
+            overload.answered(self.now, &worker, kind, took);
         }
         let notes = self.peers.as_mut().map(|p| std::mem::take(&mut p.notes));
         for (from, bytes) in notes.into_iter().flatten() {
@@ -26,9 +26,12 @@
             } else {
                 self.settings.module.balancers
             };
+            let own = self.config.name.as_str().into();
             let view = match &self.peers {
-                Some(peers) => View { parts: peers.division().map_or(0, |d| d.parts), others: peers.up() },
-                None => View { parts: alone, others: Vec::new() },
+                Some(peers) => {
+                    View { own, parts: peers.division().map_or(0, |d| d.parts), others: peers.up() }
+                }
+                None => View { own, parts: alone, others: Vec::new() },
             };
             for (to, word) in overload.advance(self.now, &view) {
                 if let Some(peers) = &mut self.peers {
@@ -44,6 +47,10 @@
         c.overload_shed.set(stats.shed);
         c.resends_wanted.set(stats.wanted);
         c.resends_made.set(stats.resent);
+        let (open, ramps) = overload.circuits();
+        c.circuits_open.set(open as u64);
+        c.circuits_ramping.set(ramps as u64);
+        c.trials_made.set(stats.trials);
         c.leases_lent.set(stats.lent);
         c.leases_borrowed.set(stats.borrowed);
     }
--- a/src/node/peering.rs
+++ b/src/node/peering.rs
@@ -37,6 +37,7 @@
     }
 
     pub(super) fn peers_advance(&mut self) {
+        self.sightings();
         let Some(peers) = &mut self.peers else { return };
         let serving = if self.draining.is_some() { Serving::Drains } else { Serving::Serves };
         let load = self.engine.owed() * 1_000 / self.settings.max_open.max(1);
@@ -45,7 +46,6 @@
         if let Some(division) = peers.news(self.now) {
             self.engine.divide(Some((division.alive, division.parts, division.place)));
         }
-        self.sightings();
         self.give_word();
         self.seek_list();
     }
@@ -59,13 +59,18 @@
     /// What connections to executors tell: the others hear of it, and what they tell is looked at.
     fn sightings(&mut self) {
         let seen = std::mem::take(&mut self.pool.sightings);
+        if let Some(overload) = &mut self.overload {
+            seen.iter().filter(|s| s.refused).for_each(|s| overload.refused(self.now, &s.worker));
+        }
         let Some(peers) = &mut self.peers else { return };
         for sighting in seen {
             if sighting.looked {
                 self.engine.unreached(self.now, &sighting.worker);
                 peers.refused(self.now, &sighting.worker);
+            } else {
+                // Danger: what a look finds is what others have told. Told again it would go round without end.
+                peers.sighted(self.now, &sighting.worker);
             }
-            peers.sighted(self.now, &sighting.worker);
         }
         while let Some(worker) = peers.look(self.now) {
             if self.pool.look(&mut self.poll, self.now, &worker) {
--- a/src/overload/mod.rs
+++ b/src/overload/mod.rs
@@ -10,12 +10,13 @@
 pub use options::Options;
 pub use report::{lines, report};
 
-use crate::api::Micros;
+use crate::api::{Micros, WorkerId};
 use crate::control::{Purse, Tokens};
 use ochreward_budget::wire::Word;
-use ochreward_budget::{Admission, Bucket, Ledger, Queueing, Terms, admission};
+use ochreward_budget::{Admission, Bucket, Circuits, Ledger, Queueing, Terms, admission, circuit};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// The channel of the membership's notes.
@@ -32,6 +33,10 @@
 const TOLD: usize = 8;
 const TOLD_CALM: usize = 3;
 const CALM_EVERY: Micros = 700_000;
+/// Gates are looked at this often while there are any.
+const GATES_EVERY: Micros = 20_000;
+/// Others that are told at once that an executor answers again; the rest find out by trials of their own.
+const MOST_TOLD: usize = 64;
 /// A worker that turns a request away has a queue that counts as so many times the one that raises the level.
 const FULL: u64 = 2;
 
@@ -49,7 +54,10 @@
 }
 
 /// What the host sees of the group.
+#[derive(Clone, Debug, Default)]
 pub struct View {
+    /// Our own name.
+    pub own: Arc<str>,
     /// The whole goes into so many parts, of which one is ours.
     pub parts: usize,
     /// The others that are up, by name.
@@ -71,6 +79,8 @@
     pub lent: u64,
     /// See `lent`.
     pub borrowed: u64,
+    /// Trials of executors whose circuits are open.
+    pub trials: u64,
 }
 
 /// The budgets and the level of one dispatcher.
@@ -79,6 +89,15 @@
     shared: [Option<Shared>; 2],
     admission: Admission,
     queueing: Queueing,
+    circuits: Option<Circuits>,
+    /// Executors listed, and those that have begun to answer again, of which the others are to hear.
+    workers: usize,
+    back: Vec<WorkerId>,
+    /// Trials of ours that were refused, likewise.
+    tried: Vec<WorkerId>,
+    /// The group as it was last seen.
+    view: View,
+    next_gate: Micros,
     next_interval: Micros,
     next_ask: Micros,
     next_tell: Micros,
@@ -107,6 +126,13 @@
             shared: [shared(options.resends), shared(options.orders)],
             admission: Admission::new(terms),
             queueing: Queueing::default(),
+            circuits: (options.ramp > 0)
+                .then(|| Circuits::new(circuit::Terms { trial: options.trial, ramp: options.ramp })),
+            workers: 0,
+            back: Vec::new(),
+            tried: Vec::new(),
+            view: View::default(),
+            next_gate: now,
             next_interval: now,
             next_ask: now,
             next_tell: now,
@@ -131,8 +157,31 @@
         self.shared.get(place).and_then(Option::as_ref).map_or(0, |s| s.ledger.spendable(now))
     }
 
-    /// An answer of this kind came after this long; or its worker turned it away.
-    pub fn answered(&mut self, now: Micros, kind: u64, took: Option<Micros>) {
+    /// Executors whose circuits are open, and those on a ramp.
+    pub fn circuits(&self) -> (usize, usize) {
+        self.circuits.as_ref().map_or((0, 0), Circuits::count)
+    }
+
+    /// The list is this now.
+    pub fn listed(&mut self, workers: BTreeSet<WorkerId>) {
+        self.workers = workers.len();
+        self.circuits.iter_mut().for_each(|c| c.retain(|worker| workers.contains(worker)));
+    }
+
+    /// No connection to an executor came up.
+    pub fn refused(&mut self, now: Micros, worker: &WorkerId) {
+        if self.circuits.as_mut().is_some_and(|c| c.refused(now, worker)) {
+            self.tried.push(worker.clone());
+        }
+        self.next_gate = self.next_gate.min(now);
+    }
+
+    /// An answer of this kind came from an executor after this long; or it turned it away.
+    pub fn answered(&mut self, now: Micros, worker: &WorkerId, kind: u64, took: Option<Micros>) {
+        if self.circuits.as_mut().is_some_and(|c| c.answered(now, worker)) {
+            self.back.push(worker.clone());
+            self.next_gate = now;
+        }
         if self.options.queue > 0 {
             match took {
                 Some(took) => self.queueing.answered(now, kind, took),
@@ -146,7 +195,8 @@
         let ends = self.shared.iter().flatten().map(|s| s.ledger.due(now)).min().unwrap_or(Micros::MAX);
         let asks = if self.shared.iter().any(Option::is_some) { self.next_ask } else { Micros::MAX };
         let level = if self.options.queue > 0 { self.next_interval.min(self.next_tell) } else { Micros::MAX };
-        ends.min(asks).min(level)
+        let gates = if self.circuits() == (0, 0) { Micros::MAX } else { self.next_gate };
+        ends.min(asks).min(level).min(gates)
     }
 
     /// What the module may spend from now on, with what it spent before.
@@ -163,6 +213,10 @@
             self.stats.wanted += tokens.wanted;
             self.stats.resent += tokens.spent;
         }
+        for (worker, (_, got)) in last.gates.iter().filter(|(_, (_, got))| *got > 0) {
+            self.stats.trials += u64::from(self.circuits.as_ref().is_some_and(|c| c.is_open(worker)));
+            self.circuits.iter_mut().for_each(|c| c.entered(now, worker, *got));
+        }
         self.stats.shed += last.shed;
         self.stats.shed_up_to = self.stats.shed_up_to.max(last.shed_up_to);
         let mut left = |place: usize| {
@@ -173,7 +227,11 @@
         };
         let (resends, orders) = (left(0), left(1));
         let (level, back) = (self.admission.level(), self.admission.back());
-        Purse { resends, orders, level, back, ..Purse::default() }
+        let view = &self.view;
+        let circuits = self.circuits.as_mut().filter(|c| c.count() != (0, 0));
+        let gates = circuits.map(|c| c.gates(now, &view.own, &view.others, (self.workers, view.parts)));
+        let gates = gates.into_iter().flatten().map(|(worker, left)| (worker, (left, 0))).collect();
+        Purse { gates, resends, orders, level, back, ..Purse::default() }
     }
 
     /// Does what is due; words to others.
@@ -182,6 +240,17 @@
         for shared in self.shared.iter_mut().flatten() {
             shared.ledger.divide(view.parts);
         }
+        self.view = view.clone();
+        if now >= self.next_gate {
+            self.next_gate = now + GATES_EVERY;
+        }
+        let back = std::mem::take(&mut self.back).into_iter().map(|worker| Word::Back(worker, 0));
+        let tried = std::mem::take(&mut self.tried).into_iter().map(Word::Tried);
+        for word in back.chain(tried) {
+            let word = word.written();
+            let to = self.some(&view.others, MOST_TOLD);
+            words.extend(to.into_iter().map(|name| (name, word.clone())));
+        }
         if now >= self.next_interval {
             self.next_interval = now + admission::Terms::default().interval;
             let queue = self.queueing.interval();
@@ -264,6 +333,14 @@
                 self.stats.borrowed += u64::from(shared.ledger.granted(now, from, &grant));
                 None
             }
+            Word::Back(worker, ago_ms) => {
+                self.circuits.iter_mut().for_each(|c| c.told(now, &worker, u64::from(ago_ms) * 1_000));
+                None
+            }
+            Word::Tried(worker) => {
+                self.circuits.iter_mut().for_each(|c| c.tried(now, &worker));
+                None
+            }
             Word::Wish(level) => {
                 if self.options.queue > 0 {
                     self.admission.told(now, from, level);
@@ -281,12 +358,21 @@
     const S: Micros = 1_000_000;
 
     fn overload(instance: u64) -> Overload {
-        let options = Options { resends: 100, orders: 0, floor: 500, lease: 2 * S, queue: 50_000, stay: S };
+        let options = Options {
+            resends: 100,
+            orders: 0,
+            floor: 500,
+            lease: 2 * S,
+            queue: 50_000,
+            stay: S,
+            ramp: 4 * S,
+            trial: S / 4,
+        };
         Overload::new(options, instance, 0)
     }
 
     fn view(others: &[&str]) -> View {
-        View { parts: 2, others: others.iter().map(|n| Arc::from(*n)).collect() }
+        View { own: "me".into(), parts: 2, others: others.iter().map(|n| Arc::from(*n)).collect() }
     }
 
     /// It wants so many resends a second, for a while, and hears nobody.
@@ -331,13 +417,35 @@
         let mut o = overload(1);
         for step in 0..40 {
             let now = 5 * S + step * S / 10;
-            (0..8).for_each(|_| o.answered(now, 1, Some(if step == 0 { 20_000 } else { 220_000 })));
+            (0..8).for_each(|_| {
+                o.answered(now, &"s1".into(), 1, Some(if step == 0 { 20_000 } else { 220_000 }))
+            });
             o.advance(now, &view(&[]));
         }
         let purse = o.purse(10 * S, &Purse::default());
         assert!(purse.level > 10 && purse.back >= S, "{purse:?}");
     }
 
+    #[test]
+    fn an_executor_that_fails_is_barred_and_let_in_by_a_trial_and_a_ramp() {
+        let (mut o, worker): (Overload, WorkerId) = (overload(1), "s1".into());
+        o.listed((0..12).map(|n| format!("s{n}").into()).collect());
+        o.refused(5 * S, &worker);
+        o.advance(5 * S, &view(&[]));
+        let left =
+            |o: &mut Overload, now, last: &Purse| o.purse(now, last).gates.get("s1").map(|(left, _)| *left);
+        assert_eq!(left(&mut o, 5 * S, &Purse::default()), Some(0));
+        assert_eq!(left(&mut o, 5 * S + S / 4, &Purse::default()), Some(1), "its trial");
+        let made = Purse { gates: [(worker.clone(), (0, 1))].into(), ..Purse::default() };
+        assert_eq!(left(&mut o, 5 * S + S / 4, &made), Some(0));
+        assert_eq!(o.stats().trials, 1);
+        o.answered(5 * S + S / 3, &worker, 1, Some(9));
+        let told = o.advance(5 * S + S / 3, &view(&["b"]));
+        assert!(told.iter().any(|(_, w)| Word::read(w) == Some(Word::Back(worker.clone(), 0))));
+        assert_eq!(o.circuits(), (0, 1));
+        assert_eq!(left(&mut o, 10 * S, &Purse::default()), None, "the ramp is over");
+    }
+
     #[test]
     fn words_that_are_none_change_nothing() {
         let mut o = overload(1);
--- a/src/overload/options.rs
+++ b/src/overload/options.rs
@@ -17,4 +17,8 @@
     pub queue: Micros,
     /// How long a level stays before it falls.
     pub stay: Micros,
+    /// How long an executor that failed is let in by a ramp once it answers again; 0: there are no circuits.
+    pub ramp: Micros,
+    /// The time between two trials of one that fails, at first.
+    pub trial: Micros,
 }
--- a/src/peers/hints.rs
+++ b/src/peers/hints.rs
@@ -29,6 +29,8 @@
 /// dispatcher connect to every executor.
 const LOOKS: u32 = 16;
 const LOOK_EVERY: Micros = 100_000;
+/// One executor is looked at no more often than this, but for the second look.
+const LOOK_AGAIN: Micros = 5_000_000;
 /// A refused look is made once more after this: one refusal may be a full queue.
 const AGAIN: Micros = 300_000;
 
@@ -43,6 +45,9 @@
     at: Micros,
     /// Rounds in which it is still passed on.
     left: u32,
+    /// When it was last looked at, and how often for that.
+    looked: Option<Micros>,
+    looks: u8,
 }
 
 /// Hints that were seen or heard, and the looks that come of them.
@@ -94,12 +99,20 @@
         if self.rumours.values().all(|r| r.left == 0) {
             self.next_round = now;
         }
-        self.rumours.insert(worker.clone(), Rumour { at, left });
+        let (looked, looks) = self.rumours.get(worker).map_or((None, 0), |r| (r.looked, r.looks));
+        self.rumours.insert(worker.clone(), Rumour { at, left, looked, looks });
         true
     }
 
-    /// Whether a look at an executor may be made now; it is counted.
-    pub fn may_look(&mut self, now: Micros) -> bool {
+    /// Whether a look at an executor may be made now; it is counted. Danger: each look at one that stays dead would be seen, told,
+    /// and looked at again by all, without end.
+    pub fn may_look(&mut self, now: Micros, worker: &WorkerId) -> bool {
+        if let Some(rumour) = self.rumours.get_mut(worker) {
+            if rumour.looked.is_some_and(|at| now < at + LOOK_AGAIN) {
+                return false;
+            }
+            (rumour.looked, rumour.looks) = (Some(now), 1);
+        }
         let back = now.saturating_sub(self.looks_at) / LOOK_EVERY;
         self.looks = (u64::from(self.looks) + back).min(u64::from(LOOKS)) as u32;
         self.looks_at = if self.looks == LOOKS { now } else { self.looks_at + back * LOOK_EVERY };
@@ -110,8 +123,10 @@
 
     /// A look was refused: it is made again, once.
     pub fn refused(&mut self, now: Micros, worker: &WorkerId) {
-        let first = self.again.iter().all(|(_, w)| w != worker);
-        if first && self.again.len() < MOST {
+        if let Some(rumour) = self.rumours.get_mut(worker).filter(|r| r.looks == 1)
+            && self.again.len() < MOST
+        {
+            rumour.looks = 2;
             self.again.push_back((now + AGAIN, worker.clone()));
         }
     }
@@ -212,20 +227,24 @@
         for n in 0..5_000 {
             let now = T0 + n as u64 * 1_000;
             hints.seen(now, &worker(n), 9);
-            looks += usize::from(hints.may_look(now));
+            looks += usize::from(hints.may_look(now, &worker(n)));
         }
         assert!(hints.rumours.len() <= MOST);
         assert!(looks <= 16 + 50, "{looks} looks in 5 s");
-        assert!(hints.may_look(T0 + 10_000_000));
+        assert!(hints.may_look(T0 + 10_000_000, &worker(1)));
     }
 
     #[test]
-    fn a_refused_look_is_made_once_more() {
+    fn a_refused_look_is_made_once_more_and_no_more_for_a_while() {
         let mut hints = Hints::new(T0);
+        hints.seen(T0, &worker(1), 9);
+        assert!(hints.may_look(T0, &worker(1)) && !hints.may_look(T0 + 1_000_000, &worker(1)));
         hints.refused(T0, &worker(1));
-        hints.refused(T0, &worker(1));
-        assert_eq!((hints.look_again(T0), hints.due()), (None, T0 + AGAIN));
+        assert_eq!(hints.look_again(T0), None);
         assert_eq!(hints.look_again(T0 + AGAIN), Some(worker(1)));
-        assert_eq!(hints.look_again(T0 + AGAIN), None);
+        hints.refused(T0 + AGAIN, &worker(1));
+        assert_eq!(hints.look_again(T0 + 9 * AGAIN), None, "twice is enough");
+        hints.seen(T0 + 3_000_000, &worker(1), 9);
+        assert!(!hints.may_look(T0 + 3_000_000, &worker(1)) && hints.may_look(T0 + LOOK_AGAIN, &worker(1)));
     }
 }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -251,12 +251,15 @@
 
     /// An executor that is to be looked at now.
     pub fn look(&mut self, now: u64) -> Option<WorkerId> {
-        let worker = self.hints.look_again(now).or_else(|| self.looks.pop())?;
-        if !self.hints.may_look(now) {
-            self.looks.clear();
-            return None;
+        if let Some(worker) = self.hints.look_again(now) {
+            return Some(worker);
+        }
+        while let Some(worker) = self.looks.pop() {
+            if self.hints.may_look(now, &worker) {
+                return Some(worker);
+            }
         }
-        Some(worker)
+        None
     }
 
     /// A look was refused.
--- a/tests/fleet_overload.rs
+++ b/tests/fleet_overload.rs
@@ -45,6 +45,8 @@
             lease: 2_000 * MS,
             queue: QUEUE,
             stay: 1_000 * MS,
+            ramp: 0,
+            trial: 250 * MS,
         };
         let member = |n: usize| Overload::new(options.clone(), seed << 20 | n as u64, 0);
         Fleet {
@@ -96,14 +98,14 @@
         let steps = self.queues.iter().rev().enumerate();
         let came = steps.map(|(n, queue)| (n as f64 * STEP as f64, *queue)).find(|(ago, queue)| ago >= queue);
         let waited = came.map_or(0, |(_, queue)| queue as u64);
-        let mut admitted = 0.0;
+        let (mut admitted, worker) = (0.0, Arc::from("s1"));
         for n in 0..count {
             let level = self.members[n].level();
             admitted += (0..3).map(|c| OFFERED[c] * Fleet::lets_in(level, c)).sum::<f64>() / count as f64;
             // What it sees: answers after the queue and a service time that differs.
             for _ in 0..2 {
                 let took = 20 * MS + waited + self.below(8 * MS);
-                self.members[n].answered(self.now, 1, Some(took));
+                self.members[n].answered(self.now, &worker, 1, Some(took));
             }
             let wanted = wants(n);
             let tokens = Tokens { wanted, ..Tokens::default() };
@@ -114,7 +116,8 @@
                     .filter(|o| *o != n && !self.apart(n, *o))
                     .map(|o| self.names[o].clone())
                     .collect();
-                let words = self.members[n].advance(self.now, &View { parts: count, others });
+                let words = self.members[n]
+                    .advance(self.now, &View { own: self.names[n].clone(), parts: count, others });
                 for (to, word) in words {
                     let to = to[1..].parse().expect("a number");
                     self.post(n, to, word);
--- a/tests/processes/overload.rs
+++ b/tests/processes/overload.rs
@@ -6,6 +6,7 @@
 use ochreward_membership::wire::{self, Body, Header};
 use ochreward_membership::{Claim, Record, State};
 use ochreward_rig::fleet::{Fleet, Setup, name};
+use ochreward_rig::load::Manner;
 use ochreward_rig::stand;
 use ochreward_rig::worker::Power;
 use std::time::Duration;
@@ -26,8 +27,8 @@
 fn loaded(clients: usize) -> Setup {
     let power = Power { service: Duration::from_millis(40), lanes: 4, queue: 4_096 };
     let (overload, credits) = (LEVEL.into(), [1.0, 2.0, 4.0]);
-    let stays_away = Duration::from_millis(200);
-    Setup { power, workers: 4, overload, credits, clients, stays_away, strict: false, ..Setup::default() }
+    let manner = Manner { stays_away: Duration::from_millis(200), ..Manner::default() };
+    Setup { power, workers: 4, overload, credits, clients, manner, strict: false, ..Setup::default() }
 }
 
 fn wanted(fleet: &Fleet) -> u64 {
@@ -335,3 +336,43 @@
     assert!(told.status.success() && text.contains("owns 2.5") && text.starts_with("level 0"), "{text}");
     assert_eq!(start("").call("GET", "/_budgets"), 404);
 }
+
+#[test]
+fn a_worker_that_died_gets_one_trial_at_a_time_and_is_let_in_by_a_ramp() {
+    let _place = place();
+    let setup = Setup {
+        power: Power { service: Duration::from_millis(10), lanes: 2, queue: 4_096 },
+        workers: 4,
+        overload: "[overload]\nramp_ms = 2000\ntrial_ms = 200\n".into(),
+        clients: 4,
+        // A copy is loaded at once, so that all workers are as good.
+        manner: Manner { load_ms: 1, ..Manner::default() },
+        strict: false,
+        ..Setup::default()
+    };
+    let mut fleet = Fleet::made(42, 5, setup);
+    fleet.until_so("it is used", || fleet.workers[0].tries() > 50);
+    fleet.kill_worker(0);
+    let sum = |fleet: &Fleet, counter: &str| (0..5).map(|n| fleet.counter(n, counter)).sum::<u64>();
+    let all = |counter: &str| sum(&fleet, counter);
+    fleet.until_so("all keep from it", || all("circuits_open") == 5);
+    let (began, trials, refused) =
+        (std::time::Instant::now(), all("trials_made"), all("executor_connects_failed"));
+    fleet.until_so("it gets trials", || all("trials_made") >= trials + 4);
+    let (took, made) = (began.elapsed().as_secs_f64(), all("trials_made") - trials);
+    // One in 200 ms at the most, ever later; each of five may have made one of its own where a word got lost.
+    assert!(made as f64 <= took / 0.2 + 6.0, "{made} trials in {took} s\n{}", fleet.history);
+    let connects = all("executor_connects_failed") - refused;
+    // A look twice by each of what others tell comes on top.
+    assert!(connects <= made + 15, "{connects} connections to the dead, {made} trials\n{}", fleet.history);
+    fleet.restart_worker(0);
+    fleet.until_so("all use it again as they like", || {
+        sum(&fleet, "circuits_open") + sum(&fleet, "circuits_ramping") == 0
+    });
+    // Four a second at first, doubled every quarter of a second, and one at hand for each of five.
+    let at_first = fleet.workers[0].within(Duration::from_secs(1));
+    assert!((1..=45).contains(&at_first), "{at_first} in the first second\n{}", fleet.history);
+    let before = fleet.workers[0].tries();
+    fleet.until_so("it is used", || fleet.workers[0].tries() > before + 50);
+    fleet.judge();
+}
