One way to draw a few others, one liar for the cases; a dead method and texts made for comparing gone

Seen, reading the whole change again: Overload::some and Peers::spread drew a few names by the same loop; four cases on real processes each built the header of a played member; Membership::part had no caller; rank made a text of each member's name to break ties, for each open circuit in each turn of the loop; the words of peers were cleared at two places. Change: peers::draw serves both; liar and packet serve the cases; rank compares the names themselves.

--- a/crates/budget/src/circuit.rs
+++ b/crates/budget/src/circuit.rs
@@ -62,10 +62,10 @@
     let weight = |member: &str| {
         let mut hasher = SipHasher13::new();
         (worker, member).hash(&mut hasher);
-        (hasher.finish(), member.to_string())
+        hasher.finish()
     };
-    let mine = weight(own);
-    others.iter().filter(|o| weight(o) > mine).count()
+    let mine = (weight(own), own);
+    others.iter().filter(|o| (weight(o), &***o) > mine).count()
 }
 
 impl Circuits {
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -267,11 +267,6 @@
         self.table.counts().0 + 1
     }
 
-    /// How this member stands.
-    pub fn part(&self) -> Part {
-        self.part
-    }
-
     /// How this member stands, and whether the views agree.
     pub fn agreement(&self) -> Agreement {
         let digest = self.digest();
--- a/src/overload/mod.rs
+++ b/src/overload/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::api::{Micros, WorkerId};
 use crate::control::{Purse, Tokens};
+use crate::peers::draw;
 use ochreward_budget::wire::Word;
 use ochreward_budget::{Admission, Bucket, Circuits, Ledger, Queueing, Terms, admission, circuit};
 use rand_pcg::Pcg32;
@@ -248,7 +249,7 @@
         let tried = std::mem::take(&mut self.tried).into_iter().map(Word::Tried);
         for word in back.chain(tried) {
             let word = word.written();
-            let to = self.some(&view.others, MOST_TOLD);
+            let to = draw(&mut self.rng, view.others.clone(), MOST_TOLD);
             words.extend(to.into_iter().map(|name| (name, word.clone())));
         }
         if now >= self.next_interval {
@@ -269,7 +270,7 @@
             // Each its own time, so that not all speak at once.
             self.next_tell = now + every - every / 10 + u64::from(self.rng.next_u32()) % (every / 5);
             let word = Word::Wish(self.admission.wish()).written();
-            let to = self.some(&view.others, most);
+            let to = draw(&mut self.rng, view.others.clone(), most);
             words.extend(to.into_iter().map(|name| (name, word.clone())));
         }
         words
@@ -297,7 +298,7 @@
         }
         let (missing, free) = (wants - has, |n: &&Arc<str>| !shared.ledger.deals_with(now, n));
         let open: Vec<Arc<str>> = view.others.iter().filter(free).cloned().collect();
-        let to = self.some(&open, ASKS);
+        let to = draw(&mut self.rng, open, ASKS);
         let Some(shared) = self.shared[place].as_mut() else { return };
         for name in &to {
             let part = missing.div_ceil(to.len() as u64);
@@ -307,18 +308,6 @@
         }
     }
 
-    /// So many of them, drawn anew.
-    fn some(&mut self, of: &[Arc<str>], most: usize) -> Vec<Arc<str>> {
-        let mut of = of.to_vec();
-        let most = most.min(of.len());
-        for at in 0..most {
-            let other = at + self.rng.next_u32() as usize % (of.len() - at);
-            of.swap(at, other);
-        }
-        of.truncate(most);
-        of
-    }
-
     /// Takes another's word; what it is answered. Danger: it may say anything.
     pub fn heard(&mut self, now: Micros, from: &Arc<str>, bytes: &[u8]) -> Option<Vec<u8>> {
         match Word::read(bytes)? {
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -232,11 +232,9 @@
 
     /// Tells so many others, drawn anew each time.
     fn spread(&mut self, now: u64, channel: u8, most: usize, bytes: &[u8]) {
-        let mut up = self.up();
-        for at in 0..most.min(up.len()) {
-            let other = at + self.rng.next_u32() as usize % (up.len() - at);
-            up.swap(at, other);
-            self.machine.note(now, &up[at], channel, bytes.to_vec());
+        let up = self.up();
+        for name in draw(&mut self.rng, up, most) {
+            self.machine.note(now, &name, channel, bytes.to_vec());
         }
     }
 
@@ -310,13 +308,12 @@
             }
         };
         self.counters.peers_lists_refused.set(self.starting.refused);
-        if self.starting.is_empty() {
-            self.words.clear();
-        }
         if taken.is_some() {
-            self.words.clear();
             count(&self.counters.peers_lists_taken);
         }
+        if taken.is_some() || self.starting.is_empty() {
+            self.words.clear();
+        }
         taken
     }
 
@@ -410,6 +407,17 @@
     }
 }
 
+/// So many of them, drawn anew each time.
+pub fn draw<T>(rng: &mut Pcg32, mut of: Vec<T>, most: usize) -> Vec<T> {
+    let most = most.min(of.len());
+    for at in 0..most {
+        let other = at + rng.next_u32() as usize % (of.len() - at);
+        of.swap(at, other);
+    }
+    of.truncate(most);
+    of
+}
+
 /// A socket for datagrams, and its address.
 fn datagrams(listen: SocketAddr) -> io::Result<(OwnedFd, SocketAddr)> {
     let family = if listen.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -42,6 +42,24 @@
     assert!(!accused, "it held others to account for its own silence\n{}", fleet.history);
 }
 
+/// A member that was never started, and speaks from the address of the last one.
+fn liar(fleet: &Fleet) -> Claim {
+    Claim {
+        name: "liar".into(),
+        address: fleet.relay.address(fleet.count() - 1),
+        instance: 7,
+        incarnation: 1,
+        state: State::Alive,
+        record: Record::default(),
+    }
+}
+
+/// A packet of a member that this test plays.
+fn packet(fleet: &Fleet, own: &Claim, stamp: u64, body: &Body, claims: &[Claim]) -> Vec<u8> {
+    let (group, own) = (wire::group(&fleet.group), own.clone());
+    wire::write(&Header { group, own, stamp, digest: 0, alive: 9, load: 0 }, body, claims).0
+}
+
 /// Shares of a budget may come to one at the most, and the thousandth parts of those that have only begun.
 fn shares_hold(fleet: &Fleet) {
     let shares = fleet.shares();
@@ -279,14 +297,12 @@
     // The last one is killed, and a liar speaks from its address.
     fleet.kill(4);
     let views = fleet.views();
-    let address = fleet.relay.address(4);
+    let own = liar(&fleet);
     let claim = |name: &str, incarnation: u64, state: State| Claim {
         name: name.into(),
-        address,
-        instance: 7,
         incarnation,
         state,
-        record: Record::default(),
+        ..own.clone()
     };
     for round in 0..200_u64 {
         let mut claims: Vec<Claim> = views
@@ -297,10 +313,7 @@
             })
             .collect();
         claims.extend((0..10).map(|n| claim(&format!("x{round}-{n}"), 1, State::Alive)));
-        let own = claim("liar", 1, State::Alive);
-        let header =
-            Header { group: wire::group(&fleet.group), own, stamp: round + 1, digest: 0, alive: 9, load: 0 };
-        let (packet, _) = wire::write(&header, &Body::Claims, &claims);
+        let packet = packet(&fleet, &own, round + 1, &Body::Claims, &claims);
         (0..4).for_each(|to| {
             fleet.relay.forge(4, to, &packet);
             fleet.relay.forge(4, to, &packet);
@@ -332,16 +345,8 @@
     let before =
         known["members"].as_array().into_iter().flatten().find(|m| m["name"] == "n4").expect("known");
     let ahead = before["incarnation"].as_u64().expect("a number") + 3_600_000;
-    let own = Claim {
-        name: "n4".into(),
-        address: fleet.relay.address(4),
-        instance: 7,
-        incarnation: ahead,
-        state: State::Alive,
-        record: Record::default(),
-    };
-    let header = Header { group: wire::group(&fleet.group), own, stamp: 1, digest: 0, alive: 5, load: 0 };
-    let (packet, _) = wire::write(&header, &Body::Claims, &[]);
+    let own = Claim { name: "n4".into(), incarnation: ahead, ..liar(&fleet) };
+    let packet = packet(&fleet, &own, 1, &Body::Claims, &[]);
     (0..4).for_each(|to| fleet.relay.forge(4, to, &packet));
     fleet.until_of(&[0, 1, 2, 3], "they hold the higher one", |v| {
         let of = v["members"].as_array().into_iter().flatten().find(|m| m["name"] == "n4");
@@ -380,15 +385,7 @@
     let _place = place();
     let mut fleet = Fleet::start(19, 5);
     fleet.kill(4);
-    let address = fleet.relay.address(4);
-    let own = Claim {
-        name: "liar".into(),
-        address,
-        instance: 7,
-        incarnation: 1,
-        state: State::Alive,
-        record: Record::default(),
-    };
+    let own = liar(&fleet);
     let before: Vec<u64> = fleet.workers.iter().map(|w| w.accepted()).collect();
     for round in 0..300_u64 {
         // Sound workers, one after the other, and some that nobody knows; as postcard writes a list of (id, age).
@@ -398,15 +395,7 @@
             bytes.extend(id.bytes());
             bytes.push(0);
         }
-        let header = Header {
-            group: wire::group(&fleet.group),
-            own: own.clone(),
-            stamp: round + 1,
-            digest: 0,
-            alive: 5,
-            load: 0,
-        };
-        let (packet, _) = wire::write(&header, &Body::Note { channel: 1, bytes }, &[]);
+        let packet = packet(&fleet, &own, round + 1, &Body::Note { channel: 1, bytes }, &[]);
         (0..4).for_each(|to| fleet.relay.forge(4, to, &packet));
     }
     fleet.until_so("all have heard it", || (0..4).all(|n| fleet.counter(n, "hints_heard") >= 3));
--- a/tests/processes/overload.rs
+++ b/tests/processes/overload.rs
@@ -1,10 +1,9 @@
 //! Overload as the fleet handles it, on real processes: what the workers were sent is what is judged.
 
-use super::{all_see, place};
+use super::{all_see, liar, packet, place};
 use ochreward_budget::Ask;
 use ochreward_budget::wire::Word;
-use ochreward_membership::wire::{self, Body, Header};
-use ochreward_membership::{Claim, Record, State};
+use ochreward_membership::wire::Body;
 use ochreward_rig::fleet::{Fleet, Setup, name};
 use ochreward_rig::load::Manner;
 use ochreward_rig::stand;
@@ -196,14 +195,7 @@
         })
     });
     fleet.kill(4);
-    let own = Claim {
-        name: "liar".into(),
-        address: fleet.relay.address(4),
-        instance: 7,
-        incarnation: 1,
-        state: State::Alive,
-        record: Record::default(),
-    };
+    let own = liar(&fleet);
     for round in 0..200_u64 {
         let ask = Ask { instance: 7, number: round, amount: u64::MAX, lease: u64::MAX, worth: u32::MAX };
         let words = [
@@ -213,15 +205,8 @@
         ];
         for (n, word) in words.iter().enumerate() {
             let stamp = round * 3 + n as u64 + 1;
-            let header = Header {
-                group: wire::group(&fleet.group),
-                own: own.clone(),
-                stamp,
-                digest: 0,
-                alive: 5,
-                load: 0,
-            };
-            let (packet, _) = wire::write(&header, &Body::Note { channel: 2, bytes: word.written() }, &[]);
+            let body = Body::Note { channel: 2, bytes: word.written() };
+            let packet = packet(&fleet, &own, stamp, &body, &[]);
             (0..4).for_each(|to| fleet.relay.forge(4, to, &packet));
         }
     }
