--- a/tests/fleet.rs
+++ b/tests/fleet/main.rs
@@ -1,6 +1,8 @@
 //! Many instances of the module with one clock: what they ask for in sum, against the rules and stated bounds.
 //! One router, two, a prime number and a hundred. Seeds are printed with what fails.
 
+mod cold_budget;
+
 use ochreward::*;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -73,6 +75,20 @@
     /// The workers that each function was sent to.
     spread: BTreeMap<String, BTreeSet<String>>,
     requests: usize,
+    /// The share of all requests that comes to the routers up to each, where it is not the same for all.
+    shares: Vec<f64>,
+}
+
+fn entries(workers: &[(&str, Option<Micros>)]) -> Vec<Listing> {
+    let entry = |(name, ready_at): &(&str, Option<Micros>)| Listing {
+        worker: (*name).into(),
+        zone: 0,
+        kind: 0,
+        cell: 0,
+        standing: Standing::Healthy,
+        ready_at: *ready_at,
+    };
+    workers.iter().map(entry).collect()
 }
 
 impl Fleet {
@@ -81,19 +97,25 @@
         let routers = (0..balancers).map(router).collect();
         let rng = Pcg32::seed_from_u64(seed);
         let (out, sends, spread) = (vec![], vec![], BTreeMap::new());
-        Fleet { routers, rng, now: 0, next: 1, out, sends, orders: 0, spread, requests: 0 }
+        let shares = (1..=balancers).map(|n| n as f64 / balancers as f64).collect();
+        Fleet { routers, rng, now: 0, next: 1, out, sends, orders: 0, spread, requests: 0, shares }
+    }
+
+    /// From here on each router has its weight of all requests.
+    fn weigh(&mut self, weights: &[f64]) {
+        let whole: f64 = weights.iter().sum();
+        let mut sum = 0.0;
+        self.shares = weights.iter().map(|w| (sum += w / whole, sum).1).collect();
+    }
+
+    /// The router that the next request comes to.
+    fn draw(&mut self) -> usize {
+        let at = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+        self.shares.partition_point(|s| *s < at).min(self.routers.len() - 1)
     }
 
     fn list(&mut self, complete: bool, workers: &[(&str, Option<Micros>)]) {
-        let entry = |(name, ready_at): &(&str, Option<Micros>)| Listing {
-            worker: (*name).into(),
-            zone: 0,
-            kind: 0,
-            cell: 0,
-            standing: Standing::Healthy,
-            ready_at: *ready_at,
-        };
-        let entries: Vec<Listing> = workers.iter().map(entry).collect();
+        let entries = entries(workers);
         for r in &mut self.routers {
             r.handle(self.now, &Event::Workers { complete, entries: entries.clone() }, &mut vec![]);
         }
@@ -119,7 +141,7 @@
                 };
                 self.tell(router, &event);
             }
-            let router = self.rng.next_u32() as usize % self.routers.len();
+            let router = self.draw();
             // Half of all requests are for an eighth of the functions.
             let few = if self.rng.next_u32().is_multiple_of(2) { functions.div_ceil(8) } else { functions };
             let name = format!("f{}", self.rng.next_u32() % few);
@@ -153,6 +175,15 @@
         }
     }
 
+    /// The router's process starts anew: it knows the list and nothing else.
+    fn restart(&mut self, router: usize, workers: &[(&str, Option<Micros>)]) {
+        let seed = self.rng.next_u32().into();
+        self.routers[router] = Router::new(settings(self.routers.len(), router), seed, self.now);
+        self.out.retain(|o| o.router != router);
+        let entries = entries(workers);
+        self.routers[router].handle(self.now, &Event::Workers { complete: true, entries }, &mut vec![]);
+    }
+
     fn tell(&mut self, router: usize, event: &Event) -> Vec<Action> {
         let mut actions = vec![];
         self.routers[router].handle(self.now, event, &mut actions);
