--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -33,8 +33,9 @@
     type Out;
     /// Bytes have come; takes off the ring what it can read.
     fn received(&mut self, input: &mut Ring, out: &mut Self::Out) -> Result<(), Malformed>;
-    /// Whether reading should go on; else the peer is left to wait.
-    fn wants_more(&self) -> bool {
+    /// Whether reading should go on with so much room left for what is not taken off the ring yet; else the peer is
+    /// left to wait.
+    fn wants_more(&self, _room: usize) -> bool {
         true
     }
 }
@@ -193,17 +194,28 @@
             return Err(why);
         }
         // Danger: a peer that resets while it is left to wait would wake every turn and never be read.
-        if ready.hung && (self.io.ended || !self.peer.wants_more()) {
+        if ready.hung && (self.io.ended || !self.wants_more()) {
             return Err(Closed::Broken);
         }
         self.flush(poll)
     }
 
-    /// Reads what is there. A break is returned only after all that came before it has been read.
+    /// Reads on from what is held already: the object takes now what it left on the ring.
+    pub fn resume(&mut self, out: &mut C::Out) -> Result<(), Closed> {
+        self.parse(out)
+    }
+
+    fn wants_more(&self) -> bool {
+        self.peer.wants_more(self.io.input.room())
+    }
+
+    /// Reads what is there, to its end. A break is returned only after all that came before it has been read.
+    /// Danger: what a peer sent just before it closed must not be acted on as if the peer were still there, so that
+    /// the end is looked for in the same turn.
     fn read(&mut self, poll: &mut Poll, out: &mut C::Out) -> Result<Option<Closed>, Closed> {
         for _ in 0..READS {
             let most = poll.scratch.len().min(self.io.input.room());
-            if !self.peer.wants_more() {
+            if !self.wants_more() {
                 break;
             }
             if most == 0 {
@@ -218,9 +230,6 @@
                     // Fits: no more than the room was asked for.
                     let _ = self.io.input.push(&poll.scratch[..count]);
                     self.parse(out)?;
-                    if count < most {
-                        break;
-                    }
                 }
                 Err(rustix::io::Errno::AGAIN) => break,
                 Err(rustix::io::Errno::INTR) => {}
@@ -238,7 +247,7 @@
     pub fn flush(&mut self, poll: &Poll) -> Result<(), Closed> {
         self.io.flush()?;
         let write = self.io.connecting || !self.io.output.is_empty();
-        let interest = Interest { read: !self.io.ended && self.peer.wants_more(), write };
+        let interest = Interest { read: !self.io.ended && self.wants_more(), write };
         if interest != self.io.interest {
             self.io.interest = interest;
             poll.change(&self.io.fd, self.io.token, interest).map_err(|_| Closed::Broken)?;
--- a/crates/net/src/poll.rs
+++ b/crates/net/src/poll.rs
@@ -7,8 +7,9 @@
 
 /// Bytes read from a socket at a time.
 const SCRATCH: usize = 64 * 1024;
-/// Events taken in one turn.
-const EVENTS: usize = 256;
+/// Events taken in one turn: as many as the platform allows descriptors. Danger: of what is ready at a time, a client's
+/// leaving must not be seen a turn later than what would send its request on.
+const EVENTS: usize = 1_024;
 
 /// Names a registered descriptor: its owner, its place there, and a number that no later one in that place has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/rig/src/stand.rs
+++ b/crates/rig/src/stand.rs
@@ -3,7 +3,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
@@ -213,6 +213,24 @@
         self.lines.recv_timeout(PATIENCE).expect("a line")
     }
 
+    /// Stops it, so that what is done until `go_on` comes to one turn of its loop. The kernel tells when it stands.
+    pub fn stand_still(&self) {
+        self.signal(rustix::process::Signal::STOP);
+        let stat = format!("/proc/{}/stat", self.child.id());
+        let began = std::time::Instant::now();
+        let state = || {
+            std::fs::read_to_string(&stat).ok().and_then(|s| Some(s.rsplit_once(") ")?.1.starts_with('T')))
+        };
+        while state() != Some(true) {
+            assert!(began.elapsed() < PATIENCE, "it never stands still");
+        }
+    }
+
+    /// Lets it go on.
+    pub fn go_on(&self) {
+        self.signal(rustix::process::Signal::CONT);
+    }
+
     /// Its counters, asked for by signal.
     pub fn counters(&self) -> BTreeMap<String, u64> {
         self.signal(rustix::process::Signal::USR1);
@@ -394,6 +412,8 @@
     pub nonsense: Arc<AtomicU32>,
     /// Sends the first half of each answer before the whole, with the same id.
     pub spoilt_first: Arc<AtomicBool>,
+    heard: Arc<Mutex<BTreeSet<SocketAddr>>>,
+    deaf: Arc<Mutex<BTreeSet<SocketAddr>>>,
 }
 
 impl Names {
@@ -403,9 +423,16 @@
         let (list, nonsense) = (List::default(), Arc::new(AtomicU32::new(0)));
         let spoilt_first = Arc::new(AtomicBool::new(false));
         let (known, odd, spoil) = (list.clone(), nonsense.clone(), spoilt_first.clone());
+        let (heard, deaf) =
+            (Arc::<Mutex<BTreeSet<SocketAddr>>>::default(), Arc::<Mutex<BTreeSet<SocketAddr>>>::default());
+        let (hears, ignores) = (heard.clone(), deaf.clone());
         std::thread::spawn(move || {
             let mut query = [0; 512];
             while let Ok((size, from)) = socket.recv_from(&mut query) {
+                hears.lock().expect("who asked").insert(from);
+                if ignores.lock().expect("who is ignored").contains(&from) {
+                    continue;
+                }
                 let (serial, list) = known.lock().expect("a list").clone();
                 let good = dns_answer(&query[..size], serial, &list);
                 if odd.load(Ordering::SeqCst) > 0 {
@@ -422,7 +449,13 @@
                 let _ = socket.send_to(&good, from);
             }
         });
-        Names { address, list, nonsense, spoilt_first }
+        Names { address, list, nonsense, spoilt_first, heard, deaf }
+    }
+
+    /// From here on says nothing to any address that has asked so far: those paths have fallen silent.
+    pub fn fall_silent(&self) {
+        let heard = self.heard.lock().expect("who asked").clone();
+        self.deaf.lock().expect("who is ignored").extend(heard);
     }
 
     /// Sets the whole list.
--- a/src/control.rs
+++ b/src/control.rs
@@ -3,11 +3,11 @@
 //! not believed warm + own pending work there + learned run time) is smallest, and is refused at once when
 //! even that passes the time left. All else feeds that estimate, takes workers out of it, or keeps copies.
 
+mod budget;
 mod evidence;
 mod hints;
 mod learned;
 mod places;
-mod purse;
 mod reports;
 mod tables;
 
@@ -16,11 +16,11 @@
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
+pub use budget::{Budget, HallGate, Tokens};
 use evidence::Evidence;
 use hints::Size;
 pub use learned::Learned;
 pub use places::{Sizes, Tally};
-pub use purse::{HallGate, Purse, Tokens};
 use reports::{Fields, Report};
 use tables::{Attempt, Function, Mark, Pool, Request, Worker, rendezvous, usable};
 
@@ -183,7 +183,7 @@
     /// Where dispatchers know each other: how many serve, into how many parts a cold budget goes, and which
     /// is ours.
     division: Option<(usize, usize, usize)>,
-    purse: Purse,
+    budget: Budget,
     extra: f64,
     spare: f64,
     /// Requests taken and loads ordered within the window of the ration.
@@ -217,7 +217,7 @@
             thin: 1.0,
             tally: Tally::default(),
             division: None,
-            purse: Purse::default(),
+            budget: Budget::default(),
             extra: EXTRA_MOST,
             spare: EXTRA_MOST,
             taken: VecDeque::new(),
@@ -298,7 +298,7 @@
                 let (class, tenant, over_quota) = (*class, *tenant, self.over_quota(*tenant, *again));
                 let (rules, most) = (self.set.classes[class], self.set.max_attempts);
                 if *again {
-                    self.purse.came_again();
+                    self.budget.came_again();
                 }
                 let request = Request {
                     class,
@@ -416,7 +416,7 @@
         let most = self.set.loads_anyway + self.set.loads_per_request * self.taken.len() as f64;
         let left = (RATION * most) as usize;
         for (_, worker, function) in due.into_iter().take(left.saturating_sub(self.ordered.len())) {
-            if !self.purse.order() {
+            if !self.budget.order() {
                 break;
             }
             self.ordered.push_back(self.now);
@@ -512,7 +512,7 @@
         let over = request.ended || request.streaming || self.now >= request.deadline;
         let bars = |a: &Attempt| a.open && (!self.set.may_duplicate || a.e.worker == worker);
         let spent = request.attempts.len() >= request.most.min(self.set.max_attempts);
-        if over || !w.up || spent || !self.purse.open(w) || request.attempts.iter().any(bars) {
+        if over || !w.up || spent || !self.budget.open(w) || request.attempts.iter().any(bars) {
             return false;
         }
         let Some(first) = request.attempts.iter().find(|a| a.may_have_run) else { return true };
@@ -758,7 +758,7 @@
                 if e.likely() <= left
                     && (e.idle || e.beside_load() <= aim)
                     && self.extra >= again
-                    && self.purse.resend(again > 0.0, worth) =>
+                    && self.budget.resend(again > 0.0, worth) =>
             {
                 self.extra -= again;
                 self.send(id, e, out);
@@ -780,7 +780,7 @@
         let load = self.load_time(self.requests[&id].function) as Micros;
         let Some(request) = self.requests.get_mut(&id) else { return };
         let w = &mut self.workers[e.worker];
-        self.purse.enter(w);
+        self.budget.enter(w);
         w.open.push((id, request.attempts.len()));
         let mark = w.marks.entry(request.function).or_default();
         mark.own += 1;
@@ -974,6 +974,8 @@
             Outcome::Reset | Outcome::ConnectFailed | Outcome::Unknown => {
                 w.cut_off(now, outcome == Outcome::ConnectFailed);
             }
+            // The load that it was to begin was never asked for.
+            Outcome::Moot if e.cold && mark.own == 0 => mark.loading = None,
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
     }
--- a/src/control/purse.rs
+++ b/src/control/budget.rs
@@ -43,7 +43,7 @@
 
 /// What is left.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Purse {
+pub struct Budget {
     /// Workers that the fleet takes back with care: how many requests each may get now, and how many it got.
     pub gates: BTreeMap<WorkerId, (u64, u64)>,
     /// Halls to which less than the usual goes, by place.
@@ -64,7 +64,7 @@
     pub shed_up_to: u8,
 }
 
-impl Purse {
+impl Budget {
     /// Whether a request of this worth may be sent again; a first try always may.
     pub(super) fn resend(&mut self, again: bool, worth: f64) -> bool {
         let Some(tokens) = self.resends.as_mut().filter(|_| again) else { return true };
@@ -109,10 +109,10 @@
 
 impl Router {
     /// What may be spent from now on; what was spent before.
-    pub fn purse(&mut self, next: Purse) -> Purse {
+    pub fn budget(&mut self, next: Budget) -> Budget {
         for (zone, gate) in &next.halls {
             // Danger: what failed before a hall was left would keep this router from it for long. The fleet lets it in again: it is tried.
-            if gate.left > 0 && self.purse.halls.get(zone).is_some_and(|last| last.left == 0) {
+            if gate.left > 0 && self.budget.halls.get(zone).is_some_and(|last| last.left == 0) {
                 self.halls.remove(zone);
                 for w in self.workers.iter_mut().filter(|w| w.zone == *zone) {
                     w.lost.fill(Default::default());
@@ -120,14 +120,14 @@
                 }
             }
         }
-        std::mem::replace(&mut self.purse, Purse { worth: 0, shed: 0, shed_up_to: 0, ..next })
+        std::mem::replace(&mut self.budget, Budget { worth: 0, shed: 0, shed_up_to: 0, ..next })
     }
 
     /// A first try that may be repeated and goes to a hall which the fleet tries, if it can be in time there: its smallest estimate.
     pub(super) fn trial(&self, request: &Request) -> Option<Estimate> {
-        let wanted = |zone: &usize| self.purse.halls.get(zone).is_some_and(|g| g.wanted && g.left > 0);
+        let wanted = |zone: &usize| self.budget.halls.get(zone).is_some_and(|g| g.wanted && g.left > 0);
         let may = request.attempts.is_empty() && request.rules.effect == Effect::Idempotent;
-        if !may || !self.purse.halls.keys().any(wanted) {
+        if !may || !self.budget.halls.keys().any(wanted) {
             return None;
         }
         let known = (self.demand(&self.functions[request.function]), self.peers());
@@ -146,7 +146,7 @@
     /// Whether the fleet's level turns the request away before anything of it ran, and for how long it should stay away: spread
     /// over the time of recovery, so that all do not come back at one moment.
     pub(super) fn sheds(&mut self, request: &Request) -> Option<Micros> {
-        if self.purse.level == 0 || !request.attempts.is_empty() {
+        if self.budget.level == 0 || !request.attempts.is_empty() {
             return None;
         }
         let credit = |class: usize| self.set.classes[class].credit;
@@ -156,34 +156,15 @@
         let place = below.iter().filter(|c| **c < credit(request.class)).count();
         let id = &self.functions[request.function].id;
         let standing = admission::standing(place, below.len(), request.over_quota, rendezvous(id, id));
-        if admission::admits(self.purse.level, standing) {
+        if admission::admits(self.budget.level, standing) {
             return None;
         }
-        self.purse.shed += 1;
-        self.purse.shed_up_to = self.purse.shed_up_to.max(standing);
-        let back = self.purse.back;
+        self.budget.shed += 1;
+        self.budget.shed_up_to = self.budget.shed_up_to.max(standing);
+        let back = self.budget.back;
         Some((back / 2 + u64::from(self.rng.next_u32()) % (back + 1)).min(self.set.max_retry_after))
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_budget_that_is_empty_bars_resends_and_never_first_tries() {
-        let mut purse = Purse { resends: Some(Tokens { left: 1, ..Tokens::default() }), ..Purse::default() };
-        assert!(purse.resend(false, 1.0) && purse.resend(true, 1.0) && !purse.resend(true, 1.0));
-        let tokens = purse.resends.expect("a budget");
-        assert_eq!((tokens.spent, tokens.wanted, purse.worth), (1, 2, 100));
-        assert!(Purse::default().resend(true, 0.0) && Purse::default().order(), "no budget of the fleet");
-    }
-
-    #[test]
-    fn the_last_token_is_for_what_is_worth_most() {
-        let mut purse = Purse { resends: Some(Tokens { left: 2, ..Tokens::default() }), ..Purse::default() };
-        assert!(purse.resend(true, 0.5), "two are there");
-        purse.resends = Some(Tokens { left: 2, ..Tokens::default() });
-        assert!(purse.resend(true, 1.0) && purse.resend(true, 1.0) && !purse.resend(true, 1.0));
-    }
-}
+mod tests;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,7 +10,7 @@
     Action, Class, Effect, Event, Found, FunctionId, KeyScope, Listing, Micros, Outcome, RequestId, Settings,
     WorkerId,
 };
-use crate::control::{Learned, Purse, Router};
+use crate::control::{Budget, Learned, Router};
 use crate::counters::{Counters, count};
 use siphasher::sip::SipHasher13;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -91,6 +91,11 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// Let an attempt go on only if it has begun to be sent; else it has ended as moot.
+    Recall {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// Order a load.
     Load {
         /// The order's number.
@@ -132,6 +137,8 @@
     worker: WorkerId,
     sent: Micros,
     open: bool,
+    /// Nothing has proved that it did not run.
+    may_have_run: bool,
 }
 
 struct Held {
@@ -189,6 +196,8 @@
     pub end: Option<(Outcome, u64, Option<Micros>)>,
 }
 
+/// Share of a keyed class's window within which a repeat is sent at the latest: the rest is for its way.
+const WINDOW_SENT: f64 = 0.95;
 /// Traces that the host has not taken, at the most.
 const MOST_TRACES: usize = 4_096;
 /// Answers that the host has not taken, at the most.
@@ -239,9 +248,9 @@
     }
 
     /// What the module may spend of the fleet's budgets from now on; what it spent before. From here on answers are watched.
-    pub fn purse(&mut self, next: Purse) -> Purse {
+    pub fn budget(&mut self, next: Budget) -> Budget {
         self.watched = true;
-        self.router.purse(next)
+        self.router.budget(next)
     }
 
     /// From here on attempts are traced.
@@ -361,9 +370,30 @@
             held.settled = true;
         }
         self.tell(now, Event::Abandoned { id });
+        self.recall(id);
         self.tidy(id);
     }
 
+    /// The client has closed its end, and has probably gone: nothing is begun for the request from here on. What runs
+    /// may still be answered.
+    pub fn hung_up(&mut self, ticket: Ticket) {
+        let Some(id) = self.tickets.get(&ticket).copied() else { return };
+        count(&self.counters.requests_hung_up);
+        if let Some(held) = self.held.get_mut(&id) {
+            held.most = held.attempts.len();
+        }
+        self.recall(id);
+    }
+
+    /// Has no attempt of the request begin that has not begun yet. Danger: one may wait for its connection to come up
+    /// long after the client has gone.
+    fn recall(&mut self, id: RequestId) {
+        let attempts = self.held.get(&id).map_or(&[][..], |h| &h.attempts);
+        let open = attempts.iter().enumerate().filter(|(_, a)| a.open);
+        let recall = |(number, _)| Command::Recall { attempt: AttemptId { request: id, number } };
+        self.commands.extend(open.map(recall));
+    }
+
     /// Settles all that is still owed: the process is about to end.
     pub fn give_up(&mut self, now: Micros) {
         let owed: Vec<RequestId> = self.tickets.values().copied().collect();
@@ -382,6 +412,8 @@
             return count(&c.late_answers);
         };
         attempt.open = false;
+        attempt.may_have_run =
+            !matches!(ended.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
         count(match ended.outcome {
             Outcome::Ok => &c.ended_ok,
             Outcome::Error | Outcome::Unknown => &c.ended_error,
@@ -439,6 +471,12 @@
                         self.ended(now, attempt, Ended::bare(Outcome::Timeout));
                     }
                 }
+                Due::Window(attempt) => {
+                    let open = self.held.get(&attempt.request).and_then(|h| h.attempts.get(attempt.number));
+                    if open.is_some_and(|a| a.open) {
+                        self.commands.push_back(Command::Recall { attempt });
+                    }
+                }
                 Due::Router(cookie) => self.tell(now, Event::Timer { cookie }),
                 Due::Deadline(id) => {
                     // Danger: a request that the module holds past its time breaks the first rule.
@@ -515,7 +553,7 @@
         let number = held.attempts.len();
         let until = until.unwrap_or(held.deadline).min(held.deadline);
         let legal = !held.settled && number < held.most && until > now;
-        held.attempts.push(Attempt { worker: worker.clone(), sent: now, open: legal });
+        held.attempts.push(Attempt { worker: worker.clone(), sent: now, open: legal, may_have_run: legal });
         if !legal {
             let last = held.settled;
             count(&self.counters.ended_moot);
@@ -528,9 +566,28 @@
         let attempt = AttemptId { request: id, number };
         let job = held.job.clone();
         self.timers.add(until, Due::Attempt(attempt));
+        if let Some(last) = self.window(id, now) {
+            self.timers.add(last, Due::Window(attempt));
+        }
         self.commands.push_back(Command::Send { attempt, worker, wait: until - now, job });
     }
 
+    /// The last moment at which the attempt just begun may be sent, where one before it may have run. Danger: executors
+    /// drop repeats by their key for a while only, counted from the first run that was possible, and a connection may
+    /// take long to come up.
+    fn window(&self, id: RequestId, now: Micros) -> Option<Micros> {
+        let held = self.held.get(&id)?;
+        let class = self.classes.get(held.job.class).filter(|c| c.effect == Effect::Deduplicated)?;
+        let first = held.attempts.first().map_or(now, |a| a.sent);
+        let before = held.attempts.split_last().map_or(&[][..], |(_, before)| before);
+        let began = match held.job.repeat {
+            Some(age) => first.saturating_sub(age),
+            None if before.iter().any(|a| a.may_have_run) => first,
+            None => return None,
+        };
+        Some(began.saturating_add((WINDOW_SENT * class.repeat_window as f64) as Micros))
+    }
+
     /// Gives the final answer, unless it was given or is owed no more.
     fn settle(&mut self, id: RequestId, answer: Final) {
         let Some(held) = self.held.get_mut(&id).filter(|h| !h.settled) else { return };
@@ -561,158 +618,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const S: Micros = 1_000_000;
-
-    /// An engine with one worker, and one class of each effect.
-    fn engine() -> Engine {
-        let class = |effect| Class {
-            aim: S,
-            deadline: 4 * S,
-            effect,
-            key_scope: KeyScope::All,
-            repeat_window: 2 * S,
-            credit: 1.0,
-            late_worth: 0.0,
-        };
-        let settings = Settings {
-            balancers: 1,
-            me: 0,
-            my_zone: 0,
-            classes: [Effect::Idempotent, Effect::Deduplicated, Effect::AtMostOnce].map(class).to_vec(),
-            tenant_quotas: vec![],
-            over_share_worth: 1.0,
-            report_fields: vec![],
-            max_attempts: 3,
-            may_duplicate: false,
-            may_cancel: true,
-            max_retry_after: S,
-            tick: 1_000,
-            cold_share: 1.0,
-            warm_after: 0,
-            fall_multiple: 2.0,
-            fall_window: S,
-            orders: false,
-            loads_on_miss: true,
-            keep_alive: 10 * S,
-            load_window: 0,
-            loads_anyway: 0.0,
-            loads_per_request: 0.0,
-            cross_zone_price: 0.0,
-            fetch_price: 0.0,
-            memory_price: 0.0,
-            list_on_request: false,
-        };
-        let (attempts, load_wait, held_bytes) = (3, S, 1000);
-        let (held_requests, retry_after, send_lag) = (10, S, S / 4);
-        let bounds = Bounds { attempts, load_wait, held_bytes, held_requests, retry_after, send_lag };
-        let mut engine = Engine::new(&settings, 1, 0, bounds, Rc::default());
-        let (zone, kind, cell, ready_at) = (0, 0, 0, None);
-        let standing = crate::api::Standing::Healthy;
-        engine.list(0, vec![Listing { worker: "w".into(), zone, kind, cell, standing, ready_at }]);
-        engine
-    }
-
-    fn take(
-        engine: &mut Engine,
-        seq: i64,
-        class: usize,
-        repeat: Option<Micros>,
-        body: usize,
-    ) -> Vec<Command> {
-        let job = Job {
-            class,
-            tenant: 0,
-            function: "f".into(),
-            lanes: 1.0,
-            load_time: None,
-            work: None,
-            again: false,
-            time_left: 4 * S,
-            call: format!("c{seq}").into(),
-            key: Some("k".into()),
-            body: vec![0; body],
-            repeat,
-        };
-        engine.take(10, Ticket { front: 0, conn: 0, seq }, job);
-        engine.commands.drain(..).collect()
-    }
-
-    fn runs(commands: &[Command]) -> bool {
-        commands.iter().any(|c| matches!(c, Command::Send { .. }))
-    }
-
-    fn answers(commands: &[Command]) -> Vec<&Final> {
-        let answers = commands.iter().filter_map(|c| match c {
-            Command::Answer { answer, .. } => Some(answer),
-            _ => None,
-        });
-        answers.collect()
-    }
-
-    #[test]
-    fn what_may_have_run_runs_again_only_as_its_class_allows() {
-        assert!(runs(&take(&mut engine(), 1, 0, Some(3 * S), 0)));
-        assert!(runs(&take(&mut engine(), 1, 1, Some(S), 0)));
-        for (class, age) in [(1, 2 * S - S / 4), (2, 0)] {
-            let commands = take(&mut engine(), 1, class, Some(age), 0);
-            assert!(!runs(&commands) && matches!(answers(&commands)[..], [Final::Failed(_)]), "{class}");
-        }
-    }
-
-    #[test]
-    fn an_id_that_is_open_is_not_taken_a_second_time() {
-        let mut engine = engine();
-        assert!(runs(&take(&mut engine, 1, 0, None, 0)));
-        let second = take(&mut engine, 1, 0, None, 5);
-        assert!(!runs(&second) && matches!(answers(&second)[..], [Final::Failed(_)]), "{second:?}");
-        engine.ended(20, AttemptId { request: 1, number: 0 }, Ended::bare(Outcome::Ok));
-        engine.commands.clear();
-        assert!(runs(&take(&mut engine, 1, 0, None, 0)), "the id is free again");
-    }
-
-    #[test]
-    fn a_keyed_repeat_has_one_attempt() {
-        let mut engine = engine();
-        take(&mut engine, 1, 1, Some(S), 0);
-        engine.ended(20, AttemptId { request: 1, number: 0 }, Ended::bare(Outcome::Error));
-        let commands: Vec<Command> = engine.commands.drain(..).collect();
-        assert!(!runs(&commands) && answers(&commands).len() == 1, "{commands:?}");
-    }
-
-    #[test]
-    fn bodies_beyond_the_bound_are_refused_and_room_comes_back() {
-        let mut engine = engine();
-        assert!(runs(&take(&mut engine, 1, 0, None, 900)));
-        assert!(matches!(answers(&take(&mut engine, 2, 0, None, 101))[..], [Final::Refused(_)]));
-        engine.ended(20, AttemptId { request: 1, number: 0 }, Ended::bare(Outcome::Ok));
-        engine.commands.clear();
-        assert!(runs(&take(&mut engine, 3, 0, None, 1000)));
-    }
-
-    #[test]
-    fn a_request_is_settled_by_its_deadline_and_once() {
-        let mut engine = engine();
-        take(&mut engine, 1, 2, None, 0);
-        engine.advance(10 + 4 * S);
-        let commands: Vec<Command> = engine.commands.drain(..).collect();
-        assert!(matches!(answers(&commands)[..], [Final::Failed(_)]), "{commands:?}");
-        engine.ended(5 * S, AttemptId { request: 1, number: 0 }, Ended::bare(Outcome::Ok));
-        engine.forget(5 * S, Ticket { front: 0, conn: 0, seq: 1 });
-        assert!(engine.commands.is_empty() && engine.owed() == 0);
-    }
-
-    #[test]
-    fn what_is_given_up_is_settled_at_once_and_once() {
-        let mut engine = engine();
-        take(&mut engine, 1, 2, None, 0);
-        engine.give_up(20);
-        let commands: Vec<Command> = engine.commands.drain(..).collect();
-        assert!(matches!(answers(&commands)[..], [Final::Failed(_)]) && engine.owed() == 0, "{commands:?}");
-        engine.give_up(30);
-        engine.advance(10 + 4 * S);
-        assert!(answers(&engine.commands.drain(..).collect::<Vec<_>>()).is_empty());
-    }
-}
+mod tests;
--- a/src/core/timers.rs
+++ b/src/core/timers.rs
@@ -10,6 +10,8 @@
 pub enum Due {
     /// An attempt has had its time.
     Attempt(AttemptId),
+    /// An attempt that repeats a keyed request must have been sent.
+    Window(AttemptId),
     /// An order to load has had its time.
     Order(u64),
     /// The module asked to be woken.
--- a/src/executor/peer.rs
+++ b/src/executor/peer.rs
@@ -18,7 +18,7 @@
     Attempt(AttemptId),
     /// An order to load.
     Order(u64),
-    /// An attempt that was given up: an answer may still cross the halt.
+    /// An attempt that was given up or has failed: an answer may still cross the halt, or come a second time.
     Halted,
 }
 
@@ -29,7 +29,8 @@
     /// Where its line begins and ends in all that was ever queued.
     pub begins: u64,
     pub ends: u64,
-    pub at: u64,
+    /// Until when answers to it are known as late ones, once nothing waits for it.
+    pub until: u64,
 }
 
 /// The speaker on a connection to an executor.
--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -23,6 +23,9 @@
 const BROKEN_OFF: u64 = 120_000;
 /// A connection on which a line has been half read for this long gets nothing new.
 const HALF_READ: u64 = 20_000;
+/// An answer that proves nothing done may come a second time for this long: its id is not used again here meanwhile.
+/// Danger: taken for that of a second attempt under the same id, it would let an unsafe request run twice.
+const SECOND_ANSWER: u64 = 2_000_000;
 /// Entries given up whose answers may still cross the halt; a connection with more of them is used up.
 const MOST_HALTED: usize = 4_096;
 
@@ -233,28 +236,46 @@
 
     /// Gives an attempt up: its answer is waited for no more.
     pub fn halt(&mut self, poll: &Poll, now: u64, id: AttemptId) {
+        // Danger: a line that is still queued would go out, and run, long after its request was over.
+        if self.unqueue(id) {
+            return;
+        }
         let Some((slot, rid)) = self.attempts.remove(&id) else { return };
         let Some(link) = self.links.get_mut(slot) else { return };
         let Some(entry) = link.peer.open.get_mut(&rid) else { return };
-        let Entry { begins, ends, .. } = *entry;
-        if link.io.unqueue(begins, ends) {
-            // Danger: a line that is still queued would go out, and run, long after its request was over.
-            count(&self.counters.attempts_withdrawn);
-            link.peer.open.remove(&rid);
-            for later in link.peer.open.values_mut().filter(|e| e.begins >= ends) {
-                later.begins -= ends - begins;
-                later.ends -= ends - begins;
-            }
-            return;
-        }
         count(&self.counters.attempts_cancelled);
         entry.purpose = Purpose::Halted;
-        entry.at = now;
+        entry.until = now + self.limits.idle();
         // What does not fit is left out: a halt only spares work.
         let _ = link.io.queue(&line::halt(&rid));
         self.push(poll, now, slot);
     }
 
+    /// Ends an attempt of which nothing has been sent yet; one that has begun goes on.
+    pub fn recall(&mut self, id: AttemptId) {
+        if self.unqueue(id) {
+            self.end(id, Outcome::Moot);
+        }
+    }
+
+    /// Takes an attempt's line back, if none of it has been sent.
+    fn unqueue(&mut self, id: AttemptId) -> bool {
+        let Some((slot, rid)) = self.attempts.get(&id) else { return false };
+        let Some(link) = self.links.get_mut(*slot) else { return false };
+        let Some(Entry { begins, ends, .. }) = link.peer.open.get(rid).copied() else { return false };
+        if !link.io.unqueue(begins, ends) {
+            return false;
+        }
+        count(&self.counters.attempts_withdrawn);
+        link.peer.open.remove(rid);
+        self.attempts.remove(&id);
+        for later in link.peer.open.values_mut().filter(|e| e.begins >= ends) {
+            later.begins -= ends - begins;
+            later.ends -= ends - begins;
+        }
+        true
+    }
+
     /// Puts a line on a connection to the executor, on a new one if need be.
     fn queue(
         &mut self,
@@ -292,7 +313,7 @@
         if !link.io.queue(line) {
             return Err(Outcome::Moot);
         }
-        let entry = Entry { purpose, begins, ends: link.io.queued, at: now };
+        let entry = Entry { purpose, begins, ends: link.io.queued, until: u64::MAX };
         link.peer.open.insert(rid.to_string(), entry);
         link.peer.unheard.get_or_insert(now);
         Ok(slot)
@@ -373,6 +394,10 @@
         let Answer { outcome, found, crowd, load, copies, body, .. } = answer;
         if let Purpose::Attempt(id) = entry.purpose {
             self.attempts.remove(&id);
+            if outcome != Outcome::Ok {
+                let halted = Entry { purpose: Purpose::Halted, until: now + SECOND_ANSWER, ..entry };
+                peer.open.insert(answer.rid.clone(), halted);
+            }
         } else if entry.purpose == Purpose::Halted {
             count(&self.counters.late_answers);
         }
@@ -446,7 +471,7 @@
         let mut over = Vec::new();
         for (slot, link) in &mut self.links {
             let peer = &mut link.peer;
-            peer.open.retain(|_, e| e.purpose != Purpose::Halted || now < e.at + idle);
+            peer.open.retain(|_, e| e.purpose != Purpose::Halted || now < e.until);
             if link.io.connecting() && now >= peer.begun + connect {
                 over.push((slot, Closed::NoConnect));
             } else if peer.half_read.is_some() && now >= peer.piece + BROKEN_OFF {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -28,4 +28,6 @@
     },
     /// The client waits for this no more.
     Forget(Ticket),
+    /// The client has closed its end: no further attempt is to begin for this, but what runs may still be answered.
+    HungUp(Ticket),
 }
--- a/src/front/thrift/front.rs
+++ b/src/front/thrift/front.rs
@@ -59,7 +59,11 @@
     messages: u64,
     highest: i32,
     offences: u32,
+    /// It takes no answers: what it asks waits on the ring, of which so many bytes were looked through.
     blocked: bool,
+    scanned: usize,
+    /// It was seen that it has closed its end.
+    hung_up: bool,
     /// When the client was told that nothing more will be sent to it.
     finished: Option<u64>,
 }
@@ -81,17 +85,24 @@
 
     fn received(&mut self, input: &mut Ring, out: &mut Vec<Call>) -> Result<(), Malformed> {
         let bytes = input.contiguous();
-        let mut done = 0;
+        let mut done = if self.blocked { self.scanned } else { 0 };
         while let Some(size) = wire::frame(&bytes[done..])? {
-            out.push(wire::read(&bytes[done + 4..done + size])?);
+            let call = wire::read(&bytes[done + 4..done + size])?;
             done += size;
+            // Danger: a client that takes no answers may still take back what it asked; that must not wait.
+            if !self.blocked || matches!(call, Call::Forget { .. }) {
+                out.push(call);
+            }
+        }
+        self.scanned = if self.blocked { done } else { 0 };
+        if !self.blocked {
+            input.consume(done);
         }
-        input.consume(done);
         Ok(())
     }
 
-    fn wants_more(&self) -> bool {
-        !self.blocked
+    fn wants_more(&self, room: usize) -> bool {
+        !self.blocked || room > 0
     }
 }
 
@@ -156,13 +167,26 @@
         while self.links.len() > self.limits.connections && self.evict(now) {}
     }
 
-    /// Accepts no more.
-    pub fn stop_listening(&mut self, poll: &Poll) {
+    /// Accepts no more, once all that wait have been accepted. Danger: those in the system's queue have asked already,
+    /// and a listener that closes resets them.
+    pub fn stop_listening(&mut self, poll: &mut Poll, now: u64) {
+        if self.accept(poll, now) {
+            self.shut(poll);
+        }
+    }
+
+    /// Accepts no more, whoever waits: another process takes those, or there is no time left for them.
+    pub fn shut(&mut self, poll: &Poll) {
         if let Some(listener) = self.listener.take() {
             listener.close(poll);
         }
     }
 
+    /// Whether it still accepts.
+    pub fn listens(&self) -> bool {
+        self.listener.is_some()
+    }
+
     /// Ends each connection as soon as nothing is open on it, so that its client goes elsewhere.
     pub fn leave(&mut self, now: u64, last_calls: u64) {
         self.leaving.get_or_insert(last_calls);
@@ -199,7 +223,8 @@
     /// Handles what happened to a descriptor of this front.
     pub fn ready(&mut self, poll: &mut Poll, now: u64, ready: Ready) {
         if self.listener.as_ref().is_some_and(|l| l.is(ready.token)) {
-            return self.accept(poll, now);
+            self.accept(poll, now);
+            return;
         }
         let slot = ready.token.slot as usize;
         let Some(link) = self.links.get_mut(slot).filter(|l| l.io.token() == ready.token) else { return };
@@ -220,6 +245,7 @@
             }
         }
         self.calls = calls;
+        self.hung_up(slot);
         if let Some(link) = self.links.get_mut(slot) {
             let since = link.peer.partial.unwrap_or(now);
             link.peer.partial = (link.peer.messages == 0 || link.io.unread() > 0).then_some(since);
@@ -234,12 +260,26 @@
         }
     }
 
-    fn accept(&mut self, poll: &mut Poll, now: u64) {
+    /// Whether it has closed its end for the first time: nothing more is begun for what it has asked, but what runs may
+    /// still be answered, since a client that only says that it sends no more looks the same.
+    fn hung_up(&mut self, slot: usize) {
+        let Some(link) = self.links.get_mut(slot).filter(|l| l.io.ended && !l.peer.hung_up) else { return };
+        link.peer.hung_up = true;
+        let open: Vec<i32> = link.peer.open.iter().copied().collect();
+        for seq in open {
+            let ticket = self.ticket(slot, seq);
+            self.intake.push(Intake::HungUp(ticket));
+        }
+    }
+
+    /// Accepts who waits; whether nobody waits any more.
+    fn accept(&mut self, poll: &mut Poll, now: u64) -> bool {
         loop {
             if self.links.len() >= self.limits.connections && !self.evict(now) {
-                return self.pause(poll, now);
+                self.pause(poll, now);
+                return false;
             }
-            let Some(listener) = &self.listener else { return };
+            let Some(listener) = &self.listener else { return true };
             match listener.accept() {
                 Accepted::One(fd) => {
                     let entry = self.links.vacant_entry();
@@ -253,6 +293,8 @@
                         highest: 0,
                         offences: 0,
                         blocked: false,
+                        scanned: 0,
+                        hung_up: false,
                         finished: None,
                     };
                     let limits = (wire::MOST_FRAME * 2, MOST_UNSENT);
@@ -261,9 +303,12 @@
                         entry.insert(link);
                     }
                 }
-                Accepted::None => return,
+                Accepted::None => return true,
                 Accepted::OutOfDescriptors if self.evict(now) => {}
-                Accepted::OutOfDescriptors => return self.pause(poll, now),
+                Accepted::OutOfDescriptors => {
+                    self.pause(poll, now);
+                    return false;
+                }
             }
         }
     }
@@ -290,8 +335,14 @@
             quiet && now >= l.peer.used.max(l.peer.heard) + rank(l).1
         };
         let first = |l: &Link<Client>| (rank(l).0, l.peer.used.max(l.peer.heard));
-        let oldest = self.links.iter().filter(|(_, l)| idle(l)).min_by_key(|(_, l)| first(l));
-        let Some(slot) = oldest.map(|(slot, _)| slot) else { return false };
+        let idle = self.links.iter().filter(|(_, l)| idle(l));
+        let mut oldest: Vec<_> = idle.map(|(slot, l)| (first(l), slot)).collect();
+        oldest.sort_unstable();
+        // Danger: a request may have come and not been read, in this turn or while the process stood still.
+        let unread = |slot: usize| self.links.get(slot).is_some_and(|l| l.io.pending());
+        let Some(slot) = oldest.into_iter().map(|(_, slot)| slot).find(|slot| !unread(*slot)) else {
+            return false;
+        };
         count(&self.counters.clients_evicted);
         self.close(slot, Closed::Broken);
         true
@@ -329,6 +380,11 @@
                     return Ok(());
                 }
                 match Sketch::read(&fields) {
+                    // Danger: it waited here, in the system or in its queue of connections, and its client has gone.
+                    Ok(_) if link.io.ended => {
+                        count(&self.counters.requests_deserted);
+                        self.queue(slot, &wire::refused(seq, Some(0)));
+                    }
                     Ok(sketch) => {
                         link.peer.open.insert(seq);
                         let ticket = self.ticket(slot, seq);
@@ -433,15 +489,29 @@
 
     /// Sends what can be sent; a client that takes no answers is not read from until it does.
     fn flush(&mut self, poll: &Poll, now: u64, slot: usize) {
-        let Some(link) = self.links.get_mut(slot) else { return };
-        let before = link.io.unsent();
-        link.peer.blocked = link.io.unsent() > MUCH_UNSENT;
-        let mut result = link.flush(poll);
-        if link.peer.blocked && link.io.unsent() <= MUCH_UNSENT {
-            link.peer.blocked = false;
+        let mut calls = Vec::new();
+        let mut result = Ok(());
+        let link = loop {
+            for call in calls.drain(..) {
+                result = result.and(self.call(now, slot, call).map_err(|m| Closed::Malformed(m.0)));
+            }
+            let Some(link) = self.links.get_mut(slot) else { return };
+            let before = link.io.unsent();
+            let was = std::mem::replace(&mut link.peer.blocked, before > MUCH_UNSENT);
             result = result.and_then(|()| link.flush(poll));
-        }
-        self.unsent = self.unsent + link.io.unsent() - before;
+            let left = link.io.unsent();
+            self.unsent = self.unsent + left - before;
+            let freed = (was || link.peer.blocked) && left <= MUCH_UNSENT;
+            if result.is_err() || !freed {
+                if link.peer.blocked && !was {
+                    count(&self.counters.clients_blocked);
+                }
+                break link;
+            }
+            // It takes answers again: what it asked meanwhile has waited on the ring.
+            link.peer.blocked = false;
+            result = link.resume(&mut calls);
+        };
         let over = link.io.ended && link.peer.open.is_empty() && link.io.unsent() == 0;
         match result {
             Err(why) => self.close(slot, why),
--- a/src/names/resolver.rs
+++ b/src/names/resolver.rs
@@ -15,6 +15,9 @@
 
 /// A query goes out this often, whether the last was answered or not: so a lost one is replaced.
 const EVERY: u64 = 100_000;
+/// A socket on which nothing has come for this long, while it was asked all the time, gives way to a new one. Danger: a
+/// path may fall silent without an error, and what is told on it counts as told 1.5 s after it happened.
+const SILENT: u64 = 600_000;
 /// Queries whose answers are still taken.
 const OPEN: usize = 20;
 
@@ -27,6 +30,8 @@
     next_id: u16,
     open: VecDeque<u16>,
     at: u64,
+    /// Since when nothing has come on the socket.
+    silent: Option<u64>,
     serial: u64,
     checker: Checker,
     counters: Rc<Counters>,
@@ -44,9 +49,9 @@
     ) -> io::Result<Resolver> {
         let fd = socket(poll, owner, server)?;
         let service = service.to_string();
-        let (next_id, open, at) = (seed as u16, VecDeque::new(), 0);
+        let (next_id, open, at, silent) = (seed as u16, VecDeque::new(), 0, None);
         let checker = Checker::default();
-        Ok(Resolver { fd, owner, server, service, next_id, open, at, serial, checker, counters })
+        Ok(Resolver { fd, owner, server, service, next_id, open, at, silent, serial, checker, counters })
     }
 
     /// Asks at another address from now on, and at once. The numbers carry on: a list that is older than what
@@ -57,6 +62,7 @@
             self.fd = socket(poll, self.owner, server)?;
             self.server = server;
             self.open.clear();
+            self.silent = None;
         }
         self.at = 0;
         Ok(())
@@ -80,11 +86,19 @@
     }
 
     /// Sends the next query when it is time.
-    pub fn advance(&mut self, now: u64) {
+    pub fn advance(&mut self, poll: &mut Poll, now: u64) {
         if now < self.at {
             return;
         }
         self.at = now + EVERY;
+        if now >= self.silent.get_or_insert(now).saturating_add(SILENT) {
+            self.silent = Some(now);
+            // Where no descriptor is left the old one stays: that it is silent does not tell that it is lost.
+            if let Ok(fd) = socket(poll, self.owner, self.server) {
+                self.fd = fd;
+                count(&self.counters.dns_reopened);
+            }
+        }
         // Ids that can't be foreseen from one answer; a full period before one comes again.
         self.next_id = self.next_id.wrapping_mul(25_173).wrapping_add(13_849);
         let query = dns::query(self.next_id, &self.service);
@@ -109,6 +123,7 @@
                 Err(rustix::io::Errno::INTR | rustix::io::Errno::CONNREFUSED) => continue,
                 Err(_) => return news,
             };
+            self.silent = None;
             // Danger: a forged, late or doubled packet. Only an id that is out counts, and only once.
             let message = buffer.get(..size).unwrap_or_default();
             let Some(place) = dns::id(message).and_then(|id| self.open.iter().position(|o| *o == id)) else {
--- a/src/node.rs
+++ b/src/node.rs
@@ -17,12 +17,12 @@
 use crate::peers::{self, Peers};
 use crate::versions::Stream;
 use std::collections::{BTreeMap, BTreeSet};
+use std::fs::File;
 use std::io;
 use std::rc::Rc;
 use tracing::info;
 
 mod beside;
-mod ending;
 mod halls;
 mod jobs;
 mod limits;
@@ -31,11 +31,12 @@
 mod overload;
 mod peering;
 mod reload;
+mod shutdown;
 mod versions;
 
-use ending::LAST_CALLS;
 use jobs::job;
 use limits::limits;
+use shutdown::LAST_CALLS;
 
 const SIGNALS: u8 = 0;
 const NAMES: u8 = 1;
@@ -48,6 +49,8 @@
 const PEERS: u8 = 8;
 /// Fronts that speak MQTT are numbered from here.
 const MQTT: u8 = 16;
+/// A turn that begins this much later than it should have, in microseconds, first looks for what came meanwhile.
+const LATE: u64 = 20_000;
 
 /// A running dispatcher.
 pub struct Node {
@@ -55,6 +58,9 @@
     clock: Clock,
     now: u64,
     started: u64,
+    /// Where the process stood still before this turn: the time since it last read, in microseconds. What it reads now may
+    /// have waited so long, and its clients count from when they sent.
+    stood: u64,
     config: Config,
     settings: Settings,
     engine: Engine,
@@ -93,6 +99,9 @@
     pool: Pool,
     resolver: Resolver,
     signals: Signals,
+    /// Keeps a descriptor for reading a new configuration and moving to the name service that it tells of, however many
+    /// clients there are; none while it is lent, or where none was left.
+    spare: Option<File>,
     draining: Option<u64>,
     counters: Rc<Counters>,
 }
@@ -109,6 +118,8 @@
         let clock = Clock::start();
         let now = clock.read();
         let mut poll = Poll::new()?;
+        // Danger: a signal that comes before it is handled ends the process, with who waits at the listener.
+        let signals = Signals::new(&mut poll, SIGNALS)?;
         let counters = Rc::new(Counters::default());
         let listener = match config.inherited {
             Some(number) => Listener::inherit(&mut poll, THRIFT, number)?,
@@ -132,7 +143,6 @@
         let thrift = thrift::Front::new(THRIFT, listener, front_limits, counters.clone());
         let door = |ops| Door::new(&mut poll, DOOR, ops, places, counters.clone());
         let door = config.ops.map(door).transpose()?;
-        let signals = Signals::new(&mut poll, SIGNALS)?;
         let bans = Bans::open(config.folder.as_ref().map(|f| f.join("bans")));
         let executors = config.known.1.clone();
         let mut node = Node {
@@ -140,6 +150,7 @@
             clock,
             now,
             started: now,
+            stood: 0,
             settings,
             engine,
             thrift,
@@ -167,6 +178,7 @@
             pool,
             resolver,
             signals,
+            spare: None,
             draining: None,
             counters,
             config,
@@ -176,6 +188,7 @@
             node.halls = Some(Halls::new(&options, &node.settings.module, &home, now));
             node.engine.trace();
         }
+        node.spare();
         node.relist();
         node.open();
         node.trigger();
@@ -209,18 +222,26 @@
     pub fn run(&mut self) -> io::Result<()> {
         let mut happened: Vec<Ready> = Vec::new();
         loop {
-            let wait = self.due().saturating_sub(self.clock.read());
-            most(&self.counters.loop_lag_most_us, self.clock.read() - self.now);
+            let began = self.clock.read();
+            let wait = self.due().saturating_sub(began);
+            most(&self.counters.loop_lag_most_us, began - self.now);
             self.poll.wait(wait, &mut happened)?;
             self.now = self.clock.read();
-            for ready in happened.drain(..) {
-                self.ready(ready);
-                self.settle();
+            // Danger: the process stood still; a client may have gone since, and what is due would send its request on.
+            let late = self.now >= began.saturating_add(wait).saturating_add(LATE);
+            self.stood = if late { self.now - began } else { 0 };
+            if self.stood > 0 {
+                happened.clear();
+                self.poll.wait(0, &mut happened)?;
             }
+            // All is read before any of it is acted on. Danger: of what has come meanwhile, word that a client has gone may
+            // lie behind an answer that would have its request sent on, and an executor's close behind a new request.
+            happened.drain(..).for_each(|ready| self.ready(ready));
+            self.settle();
             self.engine.advance(self.now);
             self.pool.advance(self.now);
             self.thrift.advance(&mut self.poll, self.now);
-            self.resolver.advance(self.now);
+            self.resolver.advance(&mut self.poll, self.now);
             if let Some(door) = &mut self.door {
                 door.advance(&mut self.poll, self.now);
             }
@@ -229,7 +250,7 @@
             self.notes();
             self.overload_advance();
             self.halls_advance();
-            self.purse_advance();
+            self.budget_advance();
             self.mqtt.advance(&mut self.poll, self.now);
             self.stream_advance();
             if let Some(front) = &mut self.stations {
@@ -244,7 +265,7 @@
 
     /// When something is next to be done, whatever happens.
     fn due(&self) -> u64 {
-        let grace = self.ending_due();
+        let grace = self.shutdown_due();
         let bans = Some(self.bans_at).filter(|_| self.handover.shared());
         let door = self.door.as_ref().map(Door::due);
         let parts = [self.engine.due(), self.pool.due(), grace, bans, door, Some(self.handover.due())];
@@ -303,7 +324,7 @@
                     self.draining.get_or_insert(self.now);
                     if self.handover.followed() {
                         // The successor takes what comes from here on.
-                        self.thrift.stop_listening(&self.poll);
+                        self.thrift.shut(&self.poll);
                         self.thrift.leave(self.now, self.now + self.longest().saturating_sub(LAST_CALLS));
                     }
                 }
@@ -350,6 +371,18 @@
             if intake.is_empty() && reports.is_empty() && self.engine.commands.is_empty() {
                 return;
             }
+            // Who has gone first, then what has ended, then what is new: each knows of what came before it.
+            intake.retain(|asked| match asked {
+                Intake::Forget(ticket) => {
+                    self.engine.forget(self.now, *ticket);
+                    false
+                }
+                Intake::HungUp(ticket) => {
+                    self.engine.hung_up(*ticket);
+                    false
+                }
+                Intake::Serve { .. } => true,
+            });
             for report in reports {
                 match report {
                     Report::Attempt(id, ended) => self.engine.ended(self.now, id, ended),
@@ -359,15 +392,11 @@
                 }
             }
             for asked in intake {
-                match asked {
-                    Intake::Serve { ticket, sketch, body, age_us, again } => {
-                        let past = self.settings.past.contains(&sketch.class);
-                        match job(&self.settings, sketch, body, age_us, again) {
-                            Ok(job) => self.engine.take(self.now, ticket, job),
-                            Err(invalid) => self.invalid(ticket, &invalid, past),
-                        }
-                    }
-                    Intake::Forget(ticket) => self.engine.forget(self.now, ticket),
+                let Intake::Serve { ticket, sketch, body, age_us, again } = asked else { continue };
+                let past = self.settings.past.contains(&sketch.class);
+                match job(&self.settings, sketch, body, age_us.max(self.stood), again) {
+                    Ok(job) => self.engine.take(self.now, ticket, job),
+                    Err(invalid) => self.invalid(ticket, &invalid, past),
                 }
             }
             while let Some(command) = self.engine.commands.pop_front() {
@@ -383,6 +412,7 @@
                 self.pool.send(poll, now, attempt, &worker, wait, &job)
             }
             Command::Halt { attempt } => self.pool.halt(poll, now, attempt),
+            Command::Recall { attempt } => self.pool.recall(attempt),
             Command::Load { order, worker, function, copies } => {
                 self.pool.load(poll, now, order, &worker, &function, copies)
             }
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -9,6 +9,14 @@
 /// Descriptors kept for all that is no connection.
 const RESERVED: usize = 32;
 
+/// The descriptors that the process may hold: the configuration's, or the system's where that allows fewer. Danger: of
+/// those that are not there, none can be kept back for executors and the name service.
+fn descriptors(config: &Config) -> usize {
+    let told = config.parts.resources.sockets;
+    let given = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    given.and_then(|g| usize::try_from(g).ok()).map_or(told, |g| g.min(told))
+}
+
 /// What bounds the parts, derived from the configuration; two processes have half of it each. The last is the number
 /// of operators that may call at a time.
 pub(super) fn limits(
@@ -18,12 +26,13 @@
     stations: usize,
 ) -> (Bounds, executor::Limits, thrift::Limits, usize) {
     let part = if shared { 2 } else { 1 };
-    let (memory, sockets) = (config.parts.resources.memory / part, config.parts.resources.sockets / part);
+    let descriptors = descriptors(config);
+    let (memory, sockets) = (config.parts.resources.memory / part, descriptors / part);
     // Danger: usual clients hold a third at most, but those that ask once and stay, or say nothing, come on top;
     // with no room beyond the third, connections wait in the queue of the system while their time runs. So
     // executors are kept a quarter, many times what they need, and clients may have the rest.
     let executors = (sockets / 4).max(8);
-    let places = if config.ops.is_some() { (config.parts.resources.sockets / 16).clamp(8, 32) } else { 0 };
+    let places = if config.ops.is_some() { (descriptors / 16).clamp(8, 32) } else { 0 };
     let clients = sockets.saturating_sub(executors + RESERVED + places + stations).max(8);
     let bounds = Bounds {
         attempts: settings.module.max_attempts,
--- a/src/node/overload.rs
+++ b/src/node/overload.rs
@@ -1,7 +1,7 @@
 //! Budgets and the level of the fleet: what the machines are told, and what the module is told of them.
 
 use super::Node;
-use crate::control::Purse;
+use crate::control::Budget;
 use crate::halls;
 use crate::overload::{self, Overload, View};
 
@@ -24,16 +24,16 @@
     }
 
     /// Tells the module what it may spend, and what may go to each hall.
-    pub(super) fn purse_advance(&mut self) {
+    pub(super) fn budget_advance(&mut self) {
         if self.overload.is_none() && self.halls.is_none() {
             return;
         }
-        let last = self.engine.purse(Purse::default());
-        let mut next = self.overload.as_mut().map(|o| o.purse(self.now, &last)).unwrap_or_default();
+        let last = self.engine.budget(Budget::default());
+        let mut next = self.overload.as_mut().map(|o| o.budget(self.now, &last)).unwrap_or_default();
         if let Some(halls) = &mut self.halls {
             next.halls = halls.gates(self.now, &last.halls);
         }
-        self.engine.purse(next);
+        self.engine.budget(next);
         self.overload_count();
     }
 
--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -4,12 +4,21 @@
 use super::limits::limits;
 use crate::config::Config;
 use crate::counters::{count, say};
+use std::fs::File;
 use tracing::warn;
 
 impl Node {
+    /// Keeps a descriptor back, if none is kept.
+    pub(super) fn spare(&mut self) {
+        if self.spare.is_none() {
+            self.spare = File::open("/dev/null").ok();
+        }
+    }
+
     /// Reads the configuration again. Danger: a faulty one must cost nothing, so that nothing of it is taken
-    /// before all of it has been checked.
+    /// before all of it has been checked; and it must be read while clients hold all descriptors.
     pub(super) fn reload(&mut self) {
+        drop(self.spare.take());
         if let Some(front) = &mut self.stations
             && let Err(why) = front.reload(&mut self.poll, self.now)
         {
@@ -28,6 +37,7 @@
                 warn!(instance = self.config.name, %why, "the old configuration stays in use");
             }
         }
+        self.spare();
     }
 
     /// Goes on with a new configuration; requests, numbers and all that was learned stay.
--- a/src/node/ending.rs
+++ b/src/node/shutdown.rs
@@ -17,7 +17,7 @@
 
 impl Node {
     /// When the end has its next step, once it has begun.
-    pub(super) fn ending_due(&self) -> Option<u64> {
+    pub(super) fn shutdown_due(&self) -> Option<u64> {
         let ends = |since| [since + GRACE, since + self.longest() + SETTLED];
         self.draining.and_then(|s| ends(s).into_iter().find(|end| *end > self.now))
     }
@@ -34,9 +34,10 @@
         if self.now < since + GRACE && !(self.handover.followed() && self.mqtt.is_empty()) {
             return false;
         }
-        self.thrift.stop_listening(&self.poll);
+        self.thrift.stop_listening(&mut self.poll, self.now);
         self.thrift.leave(self.now, since + self.longest().saturating_sub(LAST_CALLS));
         if self.now >= since + self.longest() + SETTLED {
+            self.thrift.shut(&self.poll);
             self.engine.give_up(self.now);
             self.settle();
         }
@@ -45,6 +46,7 @@
             front.stop(&self.poll);
         }
         let settled = self.engine.owed() == 0
+            && !self.thrift.listens()
             && !self.thrift.unsent()
             && self.thrift.left(self.now)
             && self.mqtt.settled()
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -1049,3 +1049,26 @@
     ask(&mut bed, 180 * MS, 100 * MS);
     assert!(bed.refused());
 }
+
+#[test]
+fn a_load_that_was_never_asked_for_is_not_waited_for() {
+    // The attempt that was to begin it was taken back before it was sent: the next goes out as the first would have. Before
+    // the mend it was held to wait for a load of which it would be the first to tell, and its second look came too early.
+    let mut bed = Bed::new(settings(), 1, 1);
+    let first = bed.ask(0, "f", 4 * S);
+    assert!(bed.out.iter().any(|a| matches!(a, Action::Send { .. })));
+    bed.tell(Event::Abandoned { id: first });
+    bed.close(first, 0, Outcome::Moot, Found::Untold, 0);
+    bed.now = 500 * MS;
+    bed.ask(0, "f", 4 * S);
+    let looks = |out: &[Action]| {
+        out.iter()
+            .filter_map(|a| if let Action::Timer { at, .. } = a { Some(*at) } else { None })
+            .collect::<Vec<_>>()
+    };
+    let again = looks(&bed.out);
+    let mut fresh = Bed::new(settings(), 1, 1);
+    fresh.now = 500 * MS;
+    fresh.ask(0, "f", 4 * S);
+    assert_eq!(again, looks(&fresh.out));
+}
--- a/tests/fleet_overload.rs
+++ b/tests/fleet_overload.rs
@@ -1,7 +1,7 @@
 //! A hundred and three hundred dispatchers in simulated time, with the machine that the program runs ([`Overload`]): the sum of
 //! what all may spend, and how their levels of admission agree and swing, through loss, a cut and its end.
 
-use ochreward::control::{Purse, Tokens};
+use ochreward::control::{Budget, Tokens};
 use ochreward::overload::{Options, Overload, View};
 use ochreward_budget::admission::{admits, standing};
 use rand_pcg::Pcg32;
@@ -109,8 +109,8 @@
             }
             let wanted = wants(n);
             let tokens = Tokens { wanted, ..Tokens::default() };
-            let last = Purse { resends: Some(tokens), worth: 50, ..Purse::default() };
-            self.members[n].purse(self.now, &last);
+            let last = Budget { resends: Some(tokens), worth: 50, ..Budget::default() };
+            self.members[n].budget(self.now, &last);
             if self.members[n].due(self.now) <= self.now {
                 let others: Vec<Arc<str>> = (0..count)
                     .filter(|o| *o != n && !self.apart(n, *o))
--- /dev/null
+++ b/tests/sockets/crossings.rs
@@ -0,0 +1,623 @@
+//! Rare moments, each forced: what crosses a client's leaving, an executor's answer or close, a signal, a silence of the
+//! name service. Where several things must fall into one turn of the loop, the program stands still while they are
+//! prepared. docs/design/rare-moments.md lists them.
+
+use crate::stand::{
+    Client, Executor, Line, Names, PATIENCE, Program, Reply, call, config, config_at, fields, message,
+    until_counted,
+};
+use serde_json::json;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+const LONG: u64 = 20_000;
+
+fn id(n: u64) -> String {
+    format!("{n:016x}")
+}
+
+/// A dispatcher with one executor, and a client of it.
+fn bed() -> (Program, Executor, Names, Client) {
+    let (executor, names) = (Executor::start(), Names::start());
+    let program = Program::start(&config(&[&executor], &names));
+    let client = Client::connect(program.address);
+    (program, executor, names, client)
+}
+
+/// A listener whose queue of connections is full: one that is begun comes up only after a place is made.
+fn hung() -> (SocketAddr, TcpListener, Vec<TcpStream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let mut fill = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
+        fill.push(stream);
+        assert!(fill.len() < 100_000, "the queue never fills");
+    }
+    (address, listener, fill)
+}
+
+/// Makes a place, and returns the lines of the first connection that says something, of which there must be one.
+fn comes_up(listener: &TcpListener, fill: Vec<TcpStream>) -> BufReader<TcpStream> {
+    drop(fill);
+    let speaks = |stream: TcpStream| {
+        let mut reader = BufReader::new(stream);
+        matches!(reader.fill_buf(), Ok(bytes) if !bytes.is_empty()).then_some(reader)
+    };
+    listener.incoming().map_while(Result::ok).find_map(speaks).expect("a connection that speaks")
+}
+
+fn next_line(reader: &mut impl BufRead) -> String {
+    let mut line = String::new();
+    reader.read_line(&mut line).expect("a line");
+    line
+}
+
+/// Has the program answer a call, so that all that was sent before it on this connection has been read.
+fn has_read(client: &mut Client, seq: i32) {
+    client.other("isWell", seq);
+    assert_eq!(client.receive(), Some((seq, Reply::Well(true))));
+}
+
+fn until(program: &Program, name: &str, value: u64) {
+    let began = Instant::now();
+    while program.counters()[name] < value {
+        assert!(began.elapsed() < PATIENCE, "{name} never came to {value}: {:?}", program.counters());
+    }
+}
+
+fn busy(line: &mut Line) {
+    line.answer("BUSY", json!({}), b"");
+}
+
+// ---- A client that leaves ----
+
+#[test]
+fn an_attempt_that_waits_for_its_connection_is_not_begun_once_its_client_took_it_back() {
+    // The first call of a function begins a load, which the module lets go on when the client has gone: but one that was
+    // not sent yet has begun nothing.
+    let names = Names::start();
+    let (address, listener, fill) = hung();
+    let mut config = config_at(&[address], &names);
+    config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
+    let program = Program::start(&config);
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    has_read(&mut client, 2);
+    client.forget(3, 1);
+    has_read(&mut client, 4);
+    client.serve(5, &fields("flow-read", &id(2), LONG), b"");
+    has_read(&mut client, 6);
+    let line = next_line(&mut comes_up(&listener, fill));
+    assert!(line.contains(&id(2)), "the first line is that of the second request: {line}");
+    assert_eq!(program.counters()["attempts_withdrawn"], 1);
+}
+
+#[test]
+fn an_attempt_that_waits_for_its_connection_is_not_begun_once_its_client_closed() {
+    for how in [Shutdown::Both, Shutdown::Write] {
+        let names = Names::start();
+        let (address, listener, fill) = hung();
+        let mut config = config_at(&[address], &names);
+        config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
+        let program = Program::start(&config);
+        let mut client = Client::connect(program.address);
+        client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+        has_read(&mut client, 2);
+        client.stream.shutdown(how).expect("closed");
+        if how == Shutdown::Write {
+            // It may only have said that it sends no more: it is told that nothing ran.
+            assert!(matches!(client.receive(), Some((1, Reply::Refused(_)))));
+            assert_eq!(client.receive(), None);
+        }
+        until(&program, "attempts_withdrawn", 1);
+        let mut other = Client::connect(program.address);
+        other.serve(1, &fields("flow-read", &id(2), LONG), b"");
+        has_read(&mut other, 2);
+        let line = next_line(&mut comes_up(&listener, fill));
+        assert!(line.contains(&id(2)), "{how:?}: {line}");
+    }
+}
+
+#[test]
+fn a_call_that_waited_longer_than_its_client_goes_to_no_executor() {
+    let (program, executor, _names, mut other) = bed();
+    has_read(&mut other, 1);
+    program.stand_still();
+    // One that has gone, and one that only sends no more; both before their calls were read.
+    let mut gone = Client::connect(program.address);
+    gone.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    drop(gone);
+    let mut half = Client::connect(program.address);
+    half.serve(1, &fields("alert-send", &id(2), LONG), b"");
+    half.stream.shutdown(Shutdown::Write).expect("closed");
+    program.go_on();
+    assert!(matches!(half.receive(), Some((1, Reply::Refused(_)))));
+    until(&program, "requests_deserted", 2);
+    has_read(&mut other, 2);
+    assert_eq!((program.counters()["attempts_sent"], executor.left()), (0, 0));
+}
+
+#[test]
+fn a_request_is_not_sent_on_when_its_clients_leaving_is_seen_with_the_answer() {
+    // In one turn: the executor turns the request away, and only behind that its client leaves in one of three ways.
+    for way in ["forget", "close", "reset"] {
+        let (executors, names) = ([Executor::start(), Executor::start()], Names::start());
+        let program = Program::start(&config(&[&executors[0], &executors[1]], &names));
+        let mut client = Client::connect(program.address);
+        client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+        let mut line = first(&executors);
+        has_read(&mut client, 2);
+        program.stand_still();
+        busy(&mut line);
+        match way {
+            "forget" => client.forget(3, 1),
+            "close" => client.stream.shutdown(Shutdown::Both).expect("closed"),
+            _ => {
+                let linger = Some(Duration::ZERO);
+                rustix::net::sockopt::set_socket_linger(&client.stream, linger).expect("set");
+                drop(client);
+            }
+        }
+        program.go_on();
+        until(&program, "ended_full", if way == "close" { 1 } else { 0 });
+        let gone = if way == "close" { "requests_hung_up" } else { "requests_forgotten" };
+        until(&program, gone, 1);
+        let mut other = Client::connect(program.address);
+        has_read(&mut other, 1);
+        assert_eq!(program.counters()["attempts_sent"], 1, "{way}");
+        assert_eq!(executors.iter().map(Executor::left).sum::<usize>(), 0, "{way}");
+    }
+}
+
+/// The next request, whichever executor it goes to.
+fn first(executors: &[Executor]) -> Line {
+    let began = Instant::now();
+    loop {
+        if let Some(line) = executors.iter().find_map(Executor::poll) {
+            return line;
+        }
+        assert!(began.elapsed() < PATIENCE, "no request comes");
+    }
+}
+
+#[test]
+fn what_runs_for_a_client_that_sends_no_more_is_still_answered() {
+    let (program, executor, _names, mut client) = bed();
+    client.serve(1, &fields("alert-send", &id(1), LONG), b"");
+    let mut line = executor.next();
+    client.stream.shutdown(Shutdown::Write).expect("closed");
+    until(&program, "requests_hung_up", 1);
+    line.ok(b"all the same");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"all the same".to_vec()))));
+    assert_eq!(client.receive(), None);
+}
+
+/// Has the client ask on from this number, and take nothing of the long answers, until it is left to wait. Returns the
+/// number of the first call that waits with it.
+fn until_blocked(program: &Program, executors: &[Executor], client: &mut Client, from: i32) -> i32 {
+    let mut other = Client::connect(program.address);
+    for seq in from..1_000 {
+        let before = program.counters();
+        client.serve(seq, &fields("flow-read", &id(seq as u64), LONG), b"");
+        // What another asks after it is answered: the call has been taken by then, or waits.
+        has_read(&mut other, seq);
+        if program.counters()["requests_taken"] == before["requests_taken"] {
+            assert!(program.counters()["clients_blocked"] > 0);
+            return seq;
+        }
+        first(executors).ok(&vec![7; 230_000]);
+        until(program, "answers_served", before["answers_served"] + 1);
+    }
+    panic!("it is read from without end");
+}
+
+#[test]
+fn a_client_that_takes_no_answers_may_still_take_back_a_request() {
+    let (executors, names) = ([Executor::start(), Executor::start()], Names::start());
+    let program = Program::start(&config(&[&executors[0], &executors[1]], &names));
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    let mut open = first(&executors);
+    let waits = until_blocked(&program, &executors, &mut client, 2);
+    client.forget(waits + 1, 1);
+    until(&program, "requests_forgotten", 1);
+    busy(&mut open);
+    let mut other = Client::connect(program.address);
+    other.serve(1, &fields("flow-read", &id(9_999), LONG), b"");
+    let mut line = first(&executors);
+    assert_eq!(line.value["rid"], id(9_999), "the one that was taken back is not sent on");
+    line.ok(b"");
+    assert_eq!(other.receive(), Some((1, Reply::Served(vec![]))));
+    // What it asked meanwhile is served once it takes answers, and nothing is lost.
+    for seq in 2..waits {
+        assert_eq!(client.receive(), Some((seq, Reply::Served(vec![7; 230_000]))));
+    }
+    first(&executors).ok(b"waited");
+    assert_eq!(client.receive(), Some((waits, Reply::Served(b"waited".to_vec()))));
+    assert_eq!(executors.iter().map(Executor::left).sum::<usize>(), 0);
+}
+
+#[test]
+fn a_call_that_waits_with_a_client_that_closed_goes_to_no_executor() {
+    let (executors, names) = ([Executor::start(), Executor::start()], Names::start());
+    let program = Program::start(&config(&[&executors[0], &executors[1]], &names));
+    let mut client = Client::connect(program.address);
+    let waits = until_blocked(&program, &executors, &mut client, 1);
+    // It sends no more, but takes its answers; then it has gone for good.
+    client.stream.shutdown(Shutdown::Write).expect("closed");
+    for seq in 1..waits {
+        assert_eq!(client.receive(), Some((seq, Reply::Served(vec![7; 230_000]))));
+    }
+    assert!(matches!(client.receive(), Some((seq, Reply::Refused(_))) if seq == waits));
+    assert_eq!(client.receive(), None);
+    let sent = executors.iter().map(Executor::left).sum::<usize>();
+    assert_eq!((sent, program.counters()["requests_deserted"]), (0, 1));
+}
+
+#[test]
+fn a_number_that_was_taken_back_is_not_used_again() {
+    let (program, executor, _names, mut client) = bed();
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    let mut line = executor.next();
+    client.forget(2, 1);
+    client.serve(1, &fields("flow-read", &id(2), LONG), b"");
+    assert!(matches!(client.receive(), Some((1, Reply::Exception(_)))));
+    // An answer to the first that crosses all this goes nowhere.
+    line.ok(b"late");
+    has_read(&mut client, 3);
+    assert_eq!((executor.left(), program.counters()["attempts_sent"]), (0, 1));
+}
+
+// ---- Executors ----
+
+#[test]
+fn a_second_answer_is_not_taken_for_that_of_a_second_attempt() {
+    let (program, executor, _names, mut client) = bed();
+    client.serve(1, &fields("alert-send", &id(1), LONG), b"");
+    let mut one = executor.next();
+    // It never ran, and says so twice; between the two the request has gone out again under its id.
+    one.answer("MISS", json!({}), b"");
+    let mut two = executor.next();
+    one.answer("MISS", json!({}), b"");
+    until(&program, "late_answers", 1);
+    two.ok(b"once");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"once".to_vec()))));
+    assert_eq!((program.counters()["attempts_sent"], executor.left()), (2, 0));
+}
+
+#[test]
+fn a_repeat_is_not_sent_after_its_keys_window_however_long_its_connection_takes() {
+    let (one, names) = (Executor::start(), Names::start());
+    let mut config = config(&[&one], &names);
+    config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
+    config["settings"]["lanes"][1]["repeat_window_us"] = json!(1_500_000);
+    let program = Program::start(&config);
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("level-log", &id(1), LONG), b"");
+    let mut line = one.next();
+    // It may have run; the only other executor is one to which no connection comes up.
+    let (address, listener, fill) = hung();
+    names.set(5, &[("s0", one.address, 1), ("s1", address, 0)]);
+    until(&program, "lists_applied", 1);
+    line.answer("ERR", json!({}), b"");
+    until(&program, "ended_error", 1);
+    let before = program.counters();
+    assert_eq!(
+        (before["attempts_sent"], before["attempts_withdrawn"]),
+        (2, 0),
+        "the repeat waits: {before:?}"
+    );
+    // Its time is far longer than the window; only then may there be room for it.
+    until(&program, "attempts_withdrawn", 1);
+    // The key is good everywhere, so that the client may try again.
+    assert!(matches!(client.receive(), Some((1, Reply::Refused(_)))));
+    client.serve(2, &fields("flow-read", &id(2), LONG), b"");
+    has_read(&mut client, 3);
+    let line = next_line(&mut comes_up(&listener, fill));
+    assert!(line.contains(&id(2)), "{line}");
+}
+
+#[test]
+fn a_request_that_comes_with_the_close_of_an_idle_connection_goes_out_on_another() {
+    let (executor, names) = (TcpListener::bind("127.0.0.1:0").expect("a listener"), Names::start());
+    let address = executor.local_addr().expect("an address");
+    let program = Program::start(&config_at(&[address], &names));
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    let (mut stream, _) = executor.accept().expect("a connection");
+    next_line(&mut BufReader::new(&stream));
+    let ok = |n: u64| format!("{}\n", json!({"verb": "OK", "rid": id(n), "content": "AA=="}));
+    stream.write_all(ok(1).as_bytes()).expect("sent");
+    assert_eq!(client.receive(), Some((1, Reply::Served(vec![0]))));
+    program.stand_still();
+    // An alert is never sent a second time: on the connection that closes it would be lost.
+    client.serve(2, &fields("alert-send", &id(2), LONG), b"");
+    drop(stream);
+    program.go_on();
+    let (mut stream, _) = executor.accept().expect("another connection");
+    let line = next_line(&mut BufReader::new(&stream));
+    assert!(line.contains(&id(2)), "{line}");
+    stream.write_all(ok(2).as_bytes()).expect("sent");
+    assert_eq!(client.receive(), Some((2, Reply::Served(vec![0]))));
+}
+
+#[test]
+fn an_answer_that_comes_with_its_connections_close_counts() {
+    let (program, executor, _names, mut client) = bed();
+    client.serve(1, &fields("alert-send", &id(1), LONG), b"");
+    client.serve(2, &fields("alert-send", &id(2), LONG), b"");
+    let (mut one, mut two) = (executor.next(), executor.next());
+    program.stand_still();
+    one.ok(b"before the close");
+    let _ = one.connection.shutdown(Shutdown::Both);
+    let _ = two.connection.shutdown(Shutdown::Both);
+    program.go_on();
+    let mut got = [client.receive().expect("an answer"), client.receive().expect("an answer")];
+    got.sort_by_key(|(seq, _)| *seq);
+    let seq = if one.value["rid"] == id(1) { 0 } else { 1 };
+    assert_eq!(got[seq].1, Reply::Served(b"before the close".to_vec()));
+    assert_eq!(got[1 - seq].1, Reply::Failed, "it may have run, and is not sent again");
+    assert_eq!(executor.left(), 0);
+    assert!(!two.try_answer("OK", json!({}), b"") || program.counters()["answers_served"] == 1);
+}
+
+// ---- The name service ----
+
+#[test]
+fn a_path_to_the_name_service_that_falls_silent_is_given_up_for_another() {
+    let (old, new, names) = (Executor::start(), Executor::start(), Names::start());
+    let program = Program::start(&config(&[&old], &names));
+    until_counted(&program, "dns_answers", "the name service is never heard");
+    names.fall_silent();
+    names.set(5, &[("s0", old.address, 1), ("s9", new.address, 0)]);
+    until(&program, "lists_applied", 1);
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    new.next().ok(b"new");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"new".to_vec()))));
+    assert!(program.counters()["dns_reopened"] >= 1);
+}
+
+#[test]
+fn a_drain_that_is_told_beside_an_answer_is_known_before_the_request_goes_on() {
+    let (executors, names) = ([Executor::start(), Executor::start()], Names::start());
+    let (a, b) = (executors[0].address, executors[1].address);
+    let program = Program::start(&config(&[&executors[0], &executors[1]], &names));
+    until_counted(&program, "dns_answers", "the name service is never heard");
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    let mut line = first(&executors);
+    has_read(&mut client, 2);
+    // Both drain from here on: told in an answer that the program has been sent before it goes on.
+    program.stand_still();
+    busy(&mut line);
+    names.set(5, &[("s0", a, 1), ("s1", b, 1)]);
+    program.go_on();
+    // Whichever was read first, the request is answered, and nothing goes out once the list is applied.
+    assert!(client.receive().is_some());
+    until(&program, "lists_applied", 1);
+    let sent = program.counters()["attempts_sent"];
+    client.serve(3, &fields("flow-read", &id(3), LONG), b"");
+    assert!(matches!(client.receive(), Some((3, Reply::Refused(_)))));
+    assert_eq!(program.counters()["attempts_sent"], sent);
+}
+
+#[test]
+fn a_new_configuration_is_read_and_discovery_moves_while_idle_clients_hold_all_descriptors() {
+    let (old, new, names, next) = (Executor::start(), Executor::start(), Names::start(), Names::start());
+    let mut config = config(&[&old], &names);
+    let program = Program::limited(40, &config);
+    // Far more than there is room for: some wait in the system's queue all the while, each place is taken again at once.
+    let clients: Vec<Client> = (0..100).map(|_| Client::connect(program.address)).collect();
+    until(&program, "accepts_paused", 3);
+    next.set(5, &[("s9", new.address, 0)]);
+    config["names"] = json!(next.address.to_string());
+    std::fs::write(&program.path, config.to_string()).expect("written");
+    program.signal(rustix::process::Signal::HUP);
+    assert_eq!(program.line(), "ochreward: the new configuration is in use");
+    until(&program, "lists_applied", 1);
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    new.next().ok(b"new");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"new".to_vec()))));
+    let counters = program.counters();
+    assert_eq!((counters["reloads"], counters["reloads_refused"]), (1, 0));
+    drop(clients);
+}
+
+#[test]
+fn idle_clients_fill_the_descriptors_while_discovery_is_down_and_all_else_goes_on() {
+    // The smallest limit that the platform may set, told and enforced.
+    let (executor, names) = (Executor::start(), Names::start());
+    let mut config = config(&[&executor], &names);
+    config["limits"]["sockets"] = json!(32);
+    let program = Program::limited(32, &config);
+    until_counted(&program, "dns_answers", "the name service is never heard");
+    names.fall_silent();
+    let mut idle: Vec<Client> = (0..40).map(|_| Client::connect(program.address)).collect();
+    idle.iter_mut().for_each(|c| drop(c.stream.write_all(&call(1, "isWell", 1, &[2, 0, 1, 1, 0]))));
+    // New clients are served, a connection to the executor comes up, and the name service is found again.
+    for n in 1..=20 {
+        let mut client = Client::connect(program.address);
+        client.serve(1, &fields("alert-send", &id(n), LONG), b"");
+        executor.next().ok(b"served");
+        assert_eq!(client.receive(), Some((1, Reply::Served(b"served".to_vec()))));
+    }
+    names.set(5, &[("s0", executor.address, 0)]);
+    until(&program, "lists_applied", 1);
+    let counters = program.counters();
+    assert_eq!((counters["executor_connects_failed"], counters["answers_failed"]), (0, 0), "{counters:?}");
+}
+
+// ---- Standing still ----
+
+#[test]
+fn an_idle_connection_whose_request_was_not_read_yet_is_not_closed_for_another() {
+    let (executors, names) = ([(); 4].map(|()| Executor::start()), Names::start());
+    let mut config = config(&executors.each_ref(), &names);
+    config["limits"]["sockets"] = json!(32);
+    let program = Program::start(&config);
+    // Eight clients have all places, and have been answered.
+    let mut clients: Vec<Client> = (0..8).map(|_| Client::connect(program.address)).collect();
+    clients.iter_mut().for_each(|client| has_read(client, 1));
+    program.stand_still();
+    // In one turn: another client connects, and behind that each of the eight asks. All have been idle long enough.
+    let began = Instant::now();
+    let mut ninth = Client::connect(program.address);
+    ninth.serve(1, &fields("alert-send", &id(9), LONG), b"");
+    for (n, client) in (1..).zip(&mut clients) {
+        client.serve(2, &fields("alert-send", &id(n), LONG), b"");
+    }
+    while began.elapsed() < Duration::from_millis(200) {
+        std::thread::yield_now();
+    }
+    program.go_on();
+    for _ in 0..8 {
+        first(&executors).ok(b"served");
+    }
+    for client in &mut clients {
+        assert_eq!(client.receive(), Some((2, Reply::Served(b"served".to_vec()))));
+    }
+    first(&executors).ok(b"later");
+    assert_eq!(ninth.receive(), Some((1, Reply::Served(b"later".to_vec()))));
+}
+
+#[test]
+fn what_came_while_the_process_stood_still_has_that_much_less_time() {
+    let (program, executor, _names, mut client) = bed();
+    has_read(&mut client, 1);
+    program.stand_still();
+    let sent = Instant::now();
+    client.serve(2, &fields("flow-read", &id(1), 10_000), b"");
+    while sent.elapsed() < Duration::from_millis(700) {
+        std::thread::yield_now();
+    }
+    let stood = sent.elapsed().as_millis() as u64;
+    program.go_on();
+    let line = executor.next();
+    let wait = line.value["attrs"]["w"].as_u64().expect("a time to wait");
+    assert!(wait <= 10_000 - stood, "{wait} ms after {stood} ms");
+}
+
+// ---- Signals ----
+
+#[test]
+fn a_connection_that_waits_to_be_accepted_at_the_stop_is_served() {
+    let (executors, names) = ([(); 4].map(|()| Executor::start()), Names::start());
+    let mut config = config(&executors.each_ref(), &names);
+    config["limits"]["sockets"] = json!(32);
+    let mut program = Program::start(&config);
+    // Eight clients fill all places, each with a request open; the ninth waits in the system's queue.
+    let mut clients: Vec<Client> = (0..9).map(|_| Client::connect(program.address)).collect();
+    for (n, client) in (1..).zip(&mut clients) {
+        client.serve(1, &fields("alert-send", &id(n), LONG), b"");
+    }
+    let mut lines: Vec<Line> = (0..8).map(|_| first(&executors)).collect();
+    until(&program, "accepts_paused", 1);
+    program.signal(rustix::process::Signal::TERM);
+    // The stop goes through its steps by time; answers come only after the listener would have closed.
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_millis(1_200) {
+        assert_eq!(program.counters()["answers_served"], 0);
+    }
+    lines.iter_mut().for_each(|line| line.ok(b"held"));
+    let mut ninth = clients.pop().expect("a client");
+    for mut client in clients {
+        assert_eq!(client.receive(), Some((1, Reply::Served(b"held".to_vec()))));
+    }
+    first(&executors).ok(b"waited");
+    assert_eq!(ninth.receive(), Some((1, Reply::Served(b"waited".to_vec()))));
+    assert_eq!(program.child.wait().expect("an end").code(), Some(0));
+}
+
+#[test]
+fn a_reload_and_two_stops_in_one_turn_lose_nothing() {
+    let (mut program, executor, _names, mut client) = bed();
+    client.serve(1, &fields("alert-send", &id(1), LONG), b"");
+    let mut held = executor.next();
+    program.stand_still();
+    for signal in [rustix::process::Signal::TERM, rustix::process::Signal::HUP, rustix::process::Signal::TERM]
+    {
+        program.signal(signal);
+    }
+    // And a request that is half there, and one whose connection waits to be accepted.
+    let whole = message(2, &fields("flow-read", &id(2), LONG), b"in two pieces");
+    client.stream.write_all(&whole[..whole.len() / 2]).expect("sent");
+    let mut late = Client::connect(program.address);
+    late.serve(1, &fields("flow-read", &id(3), LONG), b"");
+    program.go_on();
+    assert_eq!(program.line(), "ochreward: the new configuration is in use");
+    let mut third = executor.next();
+    assert_eq!(third.value["rid"], id(3));
+    third.ok(b"late");
+    assert_eq!(late.receive(), Some((1, Reply::Served(b"late".to_vec()))));
+    client.stream.write_all(&whole[whole.len() / 2..]).expect("sent");
+    executor.next().ok(b"pieces");
+    assert_eq!(client.receive(), Some((2, Reply::Served(b"pieces".to_vec()))));
+    held.ok(b"held");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"held".to_vec()))));
+    assert_eq!(client.receive(), None);
+    assert_eq!(program.child.wait().expect("an end").code(), Some(0));
+}
+
+#[test]
+fn long_answers_that_their_client_takes_late_are_whole_after_the_stop() {
+    let (executors, names) = ([Executor::start(), Executor::start()], Names::start());
+    let mut program = Program::start(&config(&[&executors[0], &executors[1]], &names));
+    let mut client = Client::connect(program.address);
+    let waits = until_blocked(&program, &executors, &mut client, 1);
+    program.signal(rustix::process::Signal::TERM);
+    // More than the system holds is still with the program, which waits for the client, and serves what waits with it.
+    for seq in 1..waits {
+        assert_eq!(client.receive(), Some((seq, Reply::Served(vec![7; 230_000]))));
+    }
+    first(&executors).ok(b"waited");
+    assert_eq!(client.receive(), Some((waits, Reply::Served(b"waited".to_vec()))));
+    assert_eq!(client.receive(), None);
+    assert_eq!(program.child.wait().expect("an end").code(), Some(0));
+}
+
+#[test]
+fn a_stop_under_load_loses_no_request() {
+    let (executor, names) = (Executor::start(), Names::start());
+    let mut program = Program::start(&config(&[&executor], &names));
+    let address = program.address;
+    std::thread::spawn(move || {
+        while let Some(mut line) = executor.line() {
+            if line.verb() == "go" && !line.try_answer("OK", json!({"note": "up"}), b"") {
+                break;
+            }
+        }
+    });
+    // Eight clients ask one call after the other, until their connection ends between two calls. A call that crosses the
+    // end would be sent anew, on a new connection, and find that the listener has gone.
+    let mut loads = Vec::new();
+    for n in 0..8u64 {
+        loads.push(std::thread::spawn(move || {
+            let mut client = Client::connect(address);
+            for seq in 1.. {
+                let fields = fields("alert-send", &id(n << 32 | seq as u64), LONG);
+                let sent = client.try_serve(seq, &fields, b"");
+                match sent.ok().and_then(|()| client.receive()) {
+                    Some((got, Reply::Served(_) | Reply::Refused(_))) => assert_eq!(got, seq, "client {n}"),
+                    Some((_, other)) => panic!("client {n}, call {seq}: {other:?}"),
+                    None => return seq as u64 - 1,
+                }
+            }
+            0
+        }));
+    }
+    until(&program, "answers_served", 400);
+    program.signal(rustix::process::Signal::TERM);
+    let answered: u64 = loads.into_iter().map(|l| l.join().expect("a client")).sum();
+    let last = program.line();
+    assert_eq!(program.child.wait().expect("an end").code(), Some(0));
+    let count = |name: &str| -> u64 {
+        let pair = last.split(' ').find_map(|p| p.strip_prefix(&format!("{name}=")));
+        pair.and_then(|v| v.parse().ok()).unwrap_or_else(|| panic!("no {name}: {last}"))
+    };
+    // What was taken was answered, once each, and the clients have had all of it.
+    assert_eq!((count("requests_taken"), count("answers_lost")), (answered, 0), "{last}");
+    assert_eq!(count("answers_served") + count("answers_refused"), answered, "{last}");
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod broker;
+mod crossings;
 mod deployments;
 mod mqtt;
 mod operators;
