--- a/src/node.rs
+++ b/src/node.rs
@@ -49,7 +49,8 @@
 const PEERS: u8 = 8;
 /// Fronts that speak MQTT are numbered from here.
 const MQTT: u8 = 16;
-/// A turn that begins this much later than it should have, in microseconds, first looks for what came meanwhile.
+/// A turn after one that took so long, or that begins this much later than it should have, in microseconds, first looks for
+/// what came meanwhile.
 const LATE: u64 = 20_000;
 
 /// A running dispatcher.
@@ -222,14 +223,15 @@
     pub fn run(&mut self) -> io::Result<()> {
         let mut happened: Vec<Ready> = Vec::new();
         loop {
-            let began = self.clock.read();
+            let (read, began) = (self.now, self.clock.read());
             let wait = self.due().saturating_sub(began);
             most(&self.counters.loop_lag_most_us, began - self.now);
             self.poll.wait(wait, &mut happened)?;
             self.now = self.clock.read();
             // Danger: the process stood still; a client may have gone since, and what is due would send its request on.
-            let late = self.now >= began.saturating_add(wait).saturating_add(LATE);
-            self.stood = if late { self.now - began } else { 0 };
+            let overslept = self.now.saturating_sub(began.saturating_add(wait));
+            let late = (began - read).max(overslept) >= LATE;
+            self.stood = if late { self.now - read } else { 0 };
             if self.stood > 0 {
                 happened.clear();
                 self.poll.wait(0, &mut happened)?;
--- a/tests/sockets/crossings.rs
+++ b/tests/sockets/crossings.rs
@@ -197,13 +197,26 @@
 /// number of the first call that waits with it.
 fn until_blocked(program: &Program, executors: &[Executor], client: &mut Client, from: i32) -> i32 {
     let mut other = Client::connect(program.address);
+    let mut number = 0;
     for seq in from..1_000 {
         let before = program.counters();
         client.serve(seq, &fields("flow-read", &id(seq as u64), LONG), b"");
-        // What another asks after it is answered: the call has been taken by then, or waits.
-        has_read(&mut other, seq);
-        if program.counters()["requests_taken"] == before["requests_taken"] {
-            assert!(program.counters()["clients_blocked"] > 0);
+        // It is taken, or it waits: then much that another asks after it is answered first.
+        let (began, mut answered) = (Instant::now(), 0);
+        let taken = loop {
+            let now = program.counters();
+            if now["requests_taken"] > before["requests_taken"] {
+                break true;
+            }
+            if now["clients_blocked"] > 0 && answered >= 20 {
+                break false;
+            }
+            assert!(began.elapsed() < PATIENCE, "a call is neither taken nor left to wait");
+            number += 1;
+            answered += 1;
+            has_read(&mut other, number);
+        };
+        if !taken {
             return seq;
         }
         first(executors).ok(&vec![7; 230_000]);
@@ -310,6 +323,7 @@
     );
     // Its time is far longer than the window; only then may there be room for it.
     until(&program, "attempts_withdrawn", 1);
+    assert_eq!(program.counters()["ended_timeout"], 0, "the window ended it, not its time");
     // The key is good everywhere, so that the client may try again.
     assert!(matches!(client.receive(), Some((1, Reply::Refused(_)))));
     client.serve(2, &fields("flow-read", &id(2), LONG), b"");
@@ -407,7 +421,8 @@
 fn a_new_configuration_is_read_and_discovery_moves_while_idle_clients_hold_all_descriptors() {
     let (old, new, names, next) = (Executor::start(), Executor::start(), Names::start(), Names::start());
     let mut config = config(&[&old], &names);
-    let program = Program::limited(40, &config);
+    // The system gives fewer than the program needs for all its parts.
+    let program = Program::limited(24, &config);
     // Far more than there is room for: some wait in the system's queue all the while, each place is taken again at once.
     let clients: Vec<Client> = (0..100).map(|_| Client::connect(program.address)).collect();
     until(&program, "accepts_paused", 3);
@@ -417,12 +432,27 @@
     program.signal(rustix::process::Signal::HUP);
     assert_eq!(program.line(), "ochreward: the new configuration is in use");
     until(&program, "lists_applied", 1);
+    let counters = program.counters();
+    assert_eq!((counters["reloads"], counters["reloads_refused"]), (1, 0));
+    drop(clients);
     let mut client = Client::connect(program.address);
     client.serve(1, &fields("flow-read", &id(1), LONG), b"");
     new.next().ok(b"new");
     assert_eq!(client.receive(), Some((1, Reply::Served(b"new".to_vec()))));
-    let counters = program.counters();
-    assert_eq!((counters["reloads"], counters["reloads_refused"]), (1, 0));
+}
+
+#[test]
+fn a_system_that_gives_fewer_descriptors_than_the_settings_say_leaves_some_for_executors() {
+    let (executor, names) = (Executor::start(), Names::start());
+    // The settings say 1,024.
+    let program = Program::limited(48, &config(&[&executor], &names));
+    let clients: Vec<Client> = (0..100).map(|_| Client::connect(program.address)).collect();
+    until(&program, "accepts_paused", 3);
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("alert-send", &id(1), LONG), b"");
+    executor.next().ok(b"served");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"served".to_vec()))));
+    assert_eq!(program.counters()["executor_connects_failed"], 0);
     drop(clients);
 }
 
@@ -621,3 +651,62 @@
     assert_eq!((count("requests_taken"), count("answers_lost")), (answered, 0), "{last}");
     assert_eq!(count("answers_served") + count("answers_refused"), answered, "{last}");
 }
+
+// ---- Settings that leave things out ----
+
+#[test]
+fn whatever_the_settings_leave_out_a_request_gets_its_one_answer() {
+    type Change = fn(&mut serde_json::Value);
+    let changes: [(&str, Change); 8] = [
+        ("no zones", |c| c["settings"]["zones"] = json!([])),
+        ("one class, and no key", |c| {
+            let lanes = c["settings"]["lanes"].as_array_mut().expect("classes");
+            lanes.truncate(1);
+        }),
+        ("no tenants", |c| drop(c["settings"].as_object_mut().expect("settings").remove("orgs"))),
+        ("no rules, no figures of the family", |c| {
+            let settings = c["settings"].as_object_mut().expect("settings");
+            settings.remove("rules");
+            settings.remove("family_info");
+        }),
+        ("a long deadline", |c| c["settings"]["lanes"][0]["deadline_us"] = json!(600_000_000)),
+        ("a window shorter than an attempt", |c| c["settings"]["lanes"][1]["repeat_window_us"] = json!(1)),
+        ("no window", |c| {
+            drop(c["settings"]["lanes"][1].as_object_mut().expect("a class").remove("repeat_window_us"))
+        }),
+        ("the smallest limits", |c| c["limits"] = json!({"cores": 0.1, "memory_mb": 16, "sockets": 32})),
+    ];
+    for (what, change) in changes {
+        let (executor, names) = (Executor::start(), Names::start());
+        let mut config = config(&[&executor], &names);
+        change(&mut config);
+        let keyed = config["settings"]["lanes"].as_array().is_some_and(|l| l.len() > 1);
+        let program = Program::start(&config);
+        let mut client = Client::connect(program.address);
+        let mut asked = fields("flow-read", &id(1), 2_000);
+        if what == "no tenants" {
+            asked.remove("org");
+        }
+        client.serve(1, &asked, b"");
+        executor.next().ok(b"served");
+        assert_eq!(client.receive(), Some((1, Reply::Served(b"served".to_vec()))), "{what}");
+        if keyed {
+            // It may have run: inside its window it is sent again, else it has its one answer unserved.
+            let mut asked = fields("level-log", &id(2), 2_000);
+            if what == "no tenants" {
+                asked.remove("org");
+            }
+            client.serve(2, &asked, b"");
+            executor.next().answer("ERR", json!({}), b"");
+            let short = what.contains("window");
+            if !short {
+                executor.next().ok(b"again");
+            }
+            let (seq, reply) = client.receive().expect("an answer");
+            assert_eq!((seq, reply == Reply::Served(b"again".to_vec())), (2, !short), "{what}");
+        }
+        assert_eq!(executor.left(), 0, "{what}");
+        let (code, counters) = program.end();
+        assert_eq!((code, counters["answers_lost"]), (Some(0), 0), "{what}");
+    }
+}
