--- a/tests/sockets/crossings.rs
+++ b/tests/sockets/crossings.rs
@@ -334,26 +334,36 @@
 
 #[test]
 fn a_request_that_comes_with_the_close_of_an_idle_connection_goes_out_on_another() {
-    let (executor, names) = (TcpListener::bind("127.0.0.1:0").expect("a listener"), Names::start());
-    let address = executor.local_addr().expect("an address");
-    let program = Program::start(&config_at(&[address], &names));
-    let mut client = Client::connect(program.address);
-    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
-    let (mut stream, _) = executor.accept().expect("a connection");
-    next_line(&mut BufReader::new(&stream));
-    let ok = |n: u64| format!("{}\n", json!({"verb": "OK", "rid": id(n), "content": "AA=="}));
-    stream.write_all(ok(1).as_bytes()).expect("sent");
-    assert_eq!(client.receive(), Some((1, Reply::Served(vec![0]))));
-    program.stand_still();
-    // An alert is never sent a second time: on the connection that closes it would be lost.
-    client.serve(2, &fields("alert-send", &id(2), LONG), b"");
-    drop(stream);
-    program.go_on();
-    let (mut stream, _) = executor.accept().expect("another connection");
-    let line = next_line(&mut BufReader::new(&stream));
-    assert!(line.contains(&id(2)), "{line}");
-    stream.write_all(ok(2).as_bytes()).expect("sent");
-    assert_eq!(client.receive(), Some((2, Reply::Served(vec![0]))));
+    // Whichever of the two the system tells of first.
+    for close_first in [false, true] {
+        let (executor, names) = (TcpListener::bind("127.0.0.1:0").expect("a listener"), Names::start());
+        let address = executor.local_addr().expect("an address");
+        let program = Program::start(&config_at(&[address], &names));
+        let mut client = Client::connect(program.address);
+        client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+        let (mut stream, _) = executor.accept().expect("a connection");
+        next_line(&mut BufReader::new(&stream));
+        let ok = |n: u64| format!("{}\n", json!({"verb": "OK", "rid": id(n), "content": "AA=="}));
+        stream.write_all(ok(1).as_bytes()).expect("sent");
+        assert_eq!(client.receive(), Some((1, Reply::Served(vec![0]))));
+        program.stand_still();
+        // An alert is never sent a second time: on the connection that closes it would be lost.
+        let asked = fields("alert-send", &id(2), LONG);
+        if close_first {
+            drop(stream);
+            client.serve(2, &asked, b"");
+        } else {
+            client.serve(2, &asked, b"");
+            drop(stream);
+        }
+        program.go_on();
+        until(&program, "executor_connects", 2);
+        let (mut stream, _) = executor.accept().expect("another connection");
+        let line = next_line(&mut BufReader::new(&stream));
+        assert!(line.contains(&id(2)), "{line}");
+        stream.write_all(ok(2).as_bytes()).expect("sent");
+        assert_eq!(client.receive(), Some((2, Reply::Served(vec![0]))));
+    }
 }
 
 #[test]
@@ -443,15 +453,21 @@
 
 #[test]
 fn a_system_that_gives_fewer_descriptors_than_the_settings_say_leaves_some_for_executors() {
-    let (executor, names) = (Executor::start(), Names::start());
+    let (executors, names) = ([(); 8].map(|()| Executor::start()), Names::start());
     // The settings say 1,024.
-    let program = Program::limited(48, &config(&[&executor], &names));
+    let program = Program::limited(48, &config(&executors.each_ref(), &names));
     let clients: Vec<Client> = (0..100).map(|_| Client::connect(program.address)).collect();
     until(&program, "accepts_paused", 3);
     let mut client = Client::connect(program.address);
-    client.serve(1, &fields("alert-send", &id(1), LONG), b"");
-    executor.next().ok(b"served");
-    assert_eq!(client.receive(), Some((1, Reply::Served(b"served".to_vec()))));
+    for seq in 1..=8 {
+        client.serve(seq, &fields("alert-send", &id(seq as u64), LONG), b"");
+    }
+    // Each goes to an executor of its own, and needs a connection of its own.
+    let mut lines: Vec<Line> = (0..8).map(|_| first(&executors)).collect();
+    lines.iter_mut().for_each(|line| line.ok(b"served"));
+    for _ in 1..=8 {
+        assert!(matches!(client.receive(), Some((_, Reply::Served(_)))));
+    }
     assert_eq!(program.counters()["executor_connects_failed"], 0);
     drop(clients);
 }
