--- a/crates/rig/src/stand.rs
+++ b/crates/rig/src/stand.rs
@@ -2,6 +2,8 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use procfs::net::TcpNetEntry;
+use procfs::process::{FDInfo, FDTarget};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -19,6 +21,12 @@
 
 pub const FUNCTION: &str = "7f3a9c21e0b4d655";
 
+/// One of many functions; the first is the one that most ask for.
+pub fn function(n: u64) -> String {
+    let first = u64::from_str_radix(FUNCTION, 16).expect("hex");
+    format!("{:016x}", first.wrapping_add(n))
+}
+
 /// Writes a file that no other test writes, and returns its path.
 pub fn file(text: &str) -> PathBuf {
     static NEXT: AtomicU32 = AtomicU32::new(0);
@@ -216,21 +224,39 @@
     /// Stops it, so that what is done until `go_on` comes to one turn of its loop. The kernel tells when it stands.
     pub fn stand_still(&self) {
         self.signal(rustix::process::Signal::STOP);
-        let stat = format!("/proc/{}/stat", self.child.id());
-        let began = std::time::Instant::now();
-        let state = || {
-            std::fs::read_to_string(&stat).ok().and_then(|s| Some(s.rsplit_once(") ")?.1.starts_with('T')))
-        };
-        while state() != Some(true) {
-            assert!(began.elapsed() < PATIENCE, "it never stands still");
-        }
+        let process = procfs::process::Process::new(self.child.id() as i32).expect("a process");
+        until("it never stands still", || process.stat().expect("its state").state == 'T');
     }
 
-    /// Lets it go on.
+    /// Lets it go on, once all that it was sent meanwhile has come to its end of the connections. Danger: on a busy machine a close
+    /// that was sent is still on its way, and would be seen a turn later than what was sent before it.
     pub fn go_on(&self) {
+        let own = self.ends();
+        until("what was sent never arrives", || {
+            let on_its_way = |e: &TcpNetEntry| e.tx_queue > 0 && own.contains(&e.remote_address);
+            !procfs::net::tcp().expect("the system's connections").iter().any(on_its_way)
+        });
         self.signal(rustix::process::Signal::CONT);
     }
 
+    /// Its ends of connections, and where it listens.
+    fn ends(&self) -> BTreeSet<SocketAddr> {
+        let process = procfs::process::Process::new(self.child.id() as i32).expect("a process");
+        let socket = |fd: FDInfo| if let FDTarget::Socket(inode) = fd.target { Some(inode) } else { None };
+        let fds = process.fd().expect("its descriptors");
+        let sockets: BTreeSet<u64> = fds.filter_map(|fd| socket(fd.ok()?)).collect();
+        let all = procfs::net::tcp().expect("the system's connections");
+        all.iter().filter(|e| sockets.contains(&e.inode)).map(|e| e.local_address).collect()
+    }
+
+    /// Waits until a connection to it from there has been reset at its end: nothing else tells that a reset has come.
+    pub fn until_reset(&self, from: SocketAddr) {
+        until("the reset never arrives", || {
+            let all = procfs::net::tcp().expect("the system's connections");
+            !all.iter().any(|e| e.remote_address == from && e.local_address.port() == self.address.port())
+        });
+    }
+
     /// Its counters, asked for by signal.
     pub fn counters(&self) -> BTreeMap<String, u64> {
         self.signal(rustix::process::Signal::USR1);
@@ -265,9 +291,15 @@
 
 /// Waits until the program's counter `name` is above 0; `never` says what failed if it stays there.
 pub fn until_counted(program: &Program, name: &str, never: &str) {
+    until(never, || program.counters()[name] > 0);
+}
+
+/// Waits until something holds; says what never came.
+pub fn until(never: &str, holds: impl Fn() -> bool) {
     let began = std::time::Instant::now();
-    while program.counters()[name] == 0 {
+    while !holds() {
         assert!(began.elapsed() < PATIENCE, "{never}");
+        std::thread::yield_now();
     }
 }
 
--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -33,6 +33,7 @@
     requests_too_late: "Requests refused because the process was about to end.",
     requests_crossed: "Requests dropped since they crossed the end of their connection.",
     requests_unread: "Requests taken back before they were handed on.",
+    requests_unkept: "Requests refused since their client takes no answers and has more waiting than is kept.",
     requests_deserted: "Requests refused since their client had closed its end before they were read.",
     requests_hung_up: "Requests whose client closed its end while they were open.",
     answers_served: "Final answers: served.",
--- a/src/front/thrift/front.rs
+++ b/src/front/thrift/front.rs
@@ -62,6 +62,8 @@
     /// It takes no answers: what it asks waits on the ring, of which so many bytes were looked through.
     blocked: bool,
     scanned: usize,
+    /// Requests that were refused since, as there was no room for them to wait.
+    unkept: usize,
     /// It was seen that it has closed its end.
     hung_up: bool,
     /// When the client was told that nothing more will be sent to it.
@@ -94,10 +96,12 @@
                 out.push(call);
             }
         }
-        self.scanned = if self.blocked { done } else { 0 };
-        if !self.blocked {
-            input.consume(done);
+        if self.blocked {
+            self.scanned = done;
+            return self.make_room(input, out);
         }
+        (self.scanned, self.unkept) = (0, 0);
+        input.consume(done);
         Ok(())
     }
 
@@ -106,6 +110,27 @@
     }
 }
 
+impl Client {
+    /// Danger: behind more requests than are kept while it takes no answers lies word that it has gone. Those that wait are handed
+    /// on, to be refused: as many as may be open at a time, so that one that asks without end is left to wait all the same.
+    fn make_room(&mut self, input: &mut Ring, out: &mut Vec<Call>) -> Result<(), Malformed> {
+        let mut at = 0;
+        while input.room() < wire::MOST_FRAME && at < self.scanned && self.unkept < MOST_OPEN {
+            let bytes = &input.contiguous()[at..];
+            let Some(size) = wire::frame(bytes)? else { break };
+            let call = wire::read(&bytes[4..size])?;
+            if matches!(call, Call::Serve { .. }) {
+                out.push(call);
+                input.cut(at, size);
+                (self.scanned, self.unkept) = (self.scanned - size, self.unkept + 1);
+            } else {
+                at += size;
+            }
+        }
+        Ok(())
+    }
+}
+
 /// The front.
 pub struct Front {
     id: u8,
@@ -294,6 +319,7 @@
                         offences: 0,
                         blocked: false,
                         scanned: 0,
+                        unkept: 0,
                         hung_up: false,
                         finished: None,
                     };
@@ -355,7 +381,10 @@
             count(&self.counters.requests_crossed);
             return Ok(());
         }
-        link.peer.used = now;
+        // Danger: one that takes no answers is not kept alive by what it asks.
+        if !link.peer.blocked {
+            link.peer.used = now;
+        }
         link.peer.partial = None;
         link.peer.messages += 1;
         match call {
@@ -379,6 +408,11 @@
                     self.queue(slot, &wire::refused(seq, Some(0)));
                     return Ok(());
                 }
+                if link.peer.blocked {
+                    count(&self.counters.requests_unkept);
+                    self.queue(slot, &wire::refused(seq, Some(0)));
+                    return Ok(());
+                }
                 match Sketch::read(&fields) {
                     // Danger: it waited here, in the system or in its queue of connections, and its client has gone.
                     Ok(_) if link.io.ended => {
@@ -570,3 +604,7 @@
         self.paused_until.unwrap_or(u64::MAX).min(self.next_sweep)
     }
 }
+
+#[cfg(test)]
+#[path = "tests.rs"]
+mod tests;
--- a/src/front/thrift/mod.rs
+++ b/src/front/thrift/mod.rs
@@ -5,6 +5,3 @@
 
 pub use front::{Front, Limits};
 pub use wire::{ask_well, read_well};
-
-#[cfg(test)]
-mod tests;
--- a/src/front/thrift/tests.rs
+++ b/src/front/thrift/tests.rs
@@ -1,6 +1,7 @@
 //! The front by itself, on real connections: what a turn of the loop may find in an order that only the kernel decides.
 
 use super::{Front, Limits};
+use crate::core::{Final, Ticket};
 use crate::counters::Counters;
 use crate::front::Intake;
 use crate::net::{Listener, Poll, Ready};
@@ -17,12 +18,12 @@
 }
 
 impl Bed {
-    fn new() -> Bed {
+    fn new(unsent: usize) -> Bed {
         let mut poll = Poll::new().expect("epoll");
         let listener =
             Listener::bind(&mut poll, 3, "127.0.0.1:0".parse().expect("an address")).expect("a listener");
         let counters = Rc::new(Counters::default());
-        let limits = Limits { connections: 2, unsent: 1 << 20 };
+        let limits = Limits { connections: 2, unsent };
         let front = Front::new(3, listener, limits, counters.clone());
         Bed { poll, front, counters }
     }
@@ -50,9 +51,46 @@
     }
 }
 
+/// The client asks, and the front takes it in.
+fn asked(bed: &mut Bed, client: &mut Client, seq: i32) -> Ticket {
+    client.serve(seq, &fields("flow-read", &format!("{seq:016x}"), 20_000), b"");
+    bed.until(0, |b| !b.front.intake.is_empty());
+    match bed.front.intake.pop() {
+        Some(Intake::Serve { ticket, .. }) => ticket,
+        _ => panic!("a request"),
+    }
+}
+
+#[test]
+fn one_that_takes_no_answers_is_closed_in_its_time_whatever_it_says_meanwhile() {
+    let mut bed = Bed::new(1 << 24);
+    let mut client = bed.client();
+    let open: Vec<Ticket> = (1..=9).map(|seq| asked(&mut bed, &mut client, seq)).collect();
+    let mut seq = 9;
+    // The system takes what it can hold for a client that reads nothing, and then no more.
+    while !bed.front.links.iter().all(|(_, link)| link.peer.blocked) {
+        seq += 1;
+        let ticket = asked(&mut bed, &mut client, seq);
+        bed.front.answer(&bed.poll, 0, ticket, &Final::Served(vec![7; 600_000].into()));
+        let mut happened = Vec::new();
+        while bed.poll.wait(SECOND / 5, &mut happened).is_ok() && !happened.is_empty() {
+            happened.drain(..).for_each(|ready| bed.front.ready(&mut bed.poll, 0, ready));
+        }
+    }
+    for (second, ticket) in (1..).zip(&open) {
+        client.forget(seq + second as i32, ticket.seq as i32);
+        bed.until(second * SECOND, |b| !b.front.intake.is_empty());
+        assert!(matches!(bed.front.intake.pop(), Some(Intake::Forget(t)) if t == *ticket));
+        bed.front.advance(&mut bed.poll, second * SECOND);
+        assert_eq!(bed.front.connections(), 1, "its time is not over");
+    }
+    bed.front.advance(&mut bed.poll, 10 * SECOND);
+    assert_eq!(bed.front.connections(), 0);
+}
+
 #[test]
 fn a_place_is_made_by_closing_a_client_of_whom_nothing_lies_unread() {
-    let mut bed = Bed::new();
+    let mut bed = Bed::new(1 << 20);
     let mut clients = [bed.client(), bed.client()];
     bed.until(0, |b| b.front.connections() == 2);
     // Both were heard, the first one longer ago; both may be closed for another's sake.
--- a/tests/sockets/crossings.rs
+++ b/tests/sockets/crossings.rs
@@ -6,17 +6,14 @@
     Client, Executor, Line, Names, PATIENCE, Program, Reply, call, config, config_at, fields, message,
     until_counted,
 };
+use crate::{hung, id};
 use serde_json::json;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
 
 const LONG: u64 = 20_000;
 
-fn id(n: u64) -> String {
-    format!("{n:016x}")
-}
-
 /// A dispatcher with one executor, and a client of it.
 fn bed() -> (Program, Executor, Names, Client) {
     let (executor, names) = (Executor::start(), Names::start());
@@ -25,18 +22,6 @@
     (program, executor, names, client)
 }
 
-/// A listener whose queue of connections is full: one that is begun comes up only after a place is made.
-fn hung() -> (SocketAddr, TcpListener, Vec<TcpStream>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
-    let address = listener.local_addr().expect("an address");
-    let mut fill = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
-        fill.push(stream);
-        assert!(fill.len() < 100_000, "the queue never fills");
-    }
-    (address, listener, fill)
-}
-
 /// Makes a place, and returns the lines of the first connection that says something, of which there must be one.
 fn comes_up(listener: &TcpListener, fill: Vec<TcpStream>) -> BufReader<TcpStream> {
     drop(fill);
@@ -156,7 +141,9 @@
             _ => {
                 let linger = Some(Duration::ZERO);
                 rustix::net::sockopt::set_socket_linger(&client.stream, linger).expect("set");
+                let from = client.stream.local_addr().expect("an address");
                 drop(client);
+                program.until_reset(from);
             }
         }
         program.go_on();
@@ -251,6 +238,52 @@
     assert_eq!(executors.iter().map(Executor::left).sum::<usize>(), 0);
 }
 
+#[test]
+fn what_lies_behind_more_calls_than_may_wait_is_seen_though_the_client_takes_no_answers() {
+    for way in ["forget", "close"] {
+        let (executors, names) = ([Executor::start(), Executor::start()], Names::start());
+        let program = Program::start(&config(&[&executors[0], &executors[1]], &names));
+        let mut client = Client::connect(program.address);
+        client.serve(1, &fields("alert-send", &id(1), LONG), b"");
+        let mut open = first(&executors);
+        let waits = until_blocked(&program, &executors, &mut client, 2);
+        // Far more than is kept for it, in calls that are as long as may be.
+        let long = vec![7; 16 * 1024];
+        let last = waits + 20;
+        for seq in waits + 1..=last {
+            client.serve(seq, &fields("flow-read", &id(seq as u64), LONG), &long);
+        }
+        if way == "forget" {
+            client.forget(last + 1, 1);
+            until(&program, "requests_forgotten", 1);
+        } else {
+            client.stream.shutdown(Shutdown::Write).expect("closed");
+            until(&program, "requests_hung_up", 1);
+        }
+        busy(&mut open);
+        let mut other = Client::connect(program.address);
+        other.serve(1, &fields("flow-read", &id(9_999), LONG), b"");
+        let mut line = first(&executors);
+        assert_eq!(line.value["rid"], id(9_999), "{way}: the one whose client left is not sent on");
+        line.ok(b"");
+        assert_eq!(other.receive(), Some((1, Reply::Served(vec![]))));
+        // Once it takes answers, it has one for each call: those that could not be kept were refused, none of them was run.
+        let mut answered = std::collections::BTreeMap::new();
+        let owed = last - i32::from(way == "forget");
+        while answered.len() < owed as usize {
+            if let Some(line) = &mut executors.iter().find_map(Executor::poll) {
+                line.ok(b"waited");
+            }
+            let (seq, reply) = client.receive().expect("an answer");
+            assert!(answered.insert(seq, reply).is_none(), "{way}: a second answer to {seq}");
+        }
+        let refused = answered.values().filter(|r| matches!(r, Reply::Refused(_))).count() as u64;
+        let counters = program.counters();
+        assert!(counters["requests_unkept"] > 0 && counters["requests_unkept"] <= refused, "{counters:?}");
+        assert!((2..waits).all(|seq| answered[&seq] == Reply::Served(vec![7; 230_000])), "{way}");
+    }
+}
+
 #[test]
 fn a_call_that_waits_with_a_client_that_closed_goes_to_no_executor() {
     let (executors, names) = ([Executor::start(), Executor::start()], Names::start());
@@ -529,6 +562,76 @@
     assert_eq!(ninth.receive(), Some((1, Reply::Served(b"later".to_vec()))));
 }
 
+#[test]
+fn a_second_attempt_that_falls_due_while_the_process_stands_still_is_not_begun_for_one_that_left_meanwhile() {
+    let names = Names::start();
+    let begun = ["stays", "forget", "half-close", "close"].map(|way| {
+        let executors = [Executor::start(), Executor::start()];
+        let mut config = config(&[&executors[0], &executors[1]], &names);
+        // Before any answer a run is taken for a quarter of this, and the second look comes after five runs: 3 s.
+        config["settings"]["lanes"][0]["promise_us"] = json!(2_400_000);
+        let program = Program::start(&config);
+        let mut client = Client::connect(program.address);
+        let mut asked = fields("flow-read", &id(1), LONG);
+        asked.insert("info".to_string(), "memory_mb:512;lanes:2;load_ms:1".to_string());
+        client.serve(1, &asked, b"");
+        let held = first(&executors);
+        has_read(&mut client, 2);
+        program.stand_still();
+        match way {
+            "forget" => client.forget(3, 1),
+            "half-close" => client.stream.shutdown(Shutdown::Write).expect("closed"),
+            "close" => client.stream.shutdown(Shutdown::Both).expect("closed"),
+            _ => {}
+        }
+        (way, executors, program, client, held, Instant::now())
+    });
+    for (way, executors, program, _client, _held, began) in begun {
+        // The look falls due by the clock, while the process stands still.
+        while began.elapsed() < Duration::from_millis(3_500) {
+            std::thread::yield_now();
+        }
+        assert_eq!(executors.iter().map(Executor::left).sum::<usize>(), 0, "{way}: it was not due before");
+        program.go_on();
+        if way == "stays" {
+            assert_eq!(first(&executors).value["rid"], id(1), "it was due: the request goes to another");
+            continue;
+        }
+        until(&program, if way == "forget" { "requests_forgotten" } else { "requests_hung_up" }, 1);
+        let mut other = Client::connect(program.address);
+        has_read(&mut other, 1);
+        assert_eq!(program.counters()["attempts_sent"], 1, "{way}");
+        assert_eq!(executors.iter().map(Executor::left).sum::<usize>(), 0, "{way}");
+    }
+}
+
+#[test]
+fn a_turn_sees_all_that_is_ready_however_many_that_are() {
+    let (executors, names) = ([Executor::start(), Executor::start()], Names::start());
+    let program = Program::start(&config(&[&executors[0], &executors[1]], &names));
+    let mut crowd: Vec<Client> = (0..560).map(|_| Client::connect(program.address)).collect();
+    crowd.iter_mut().for_each(|client| has_read(client, 1));
+    let mut leaver = Client::connect(program.address);
+    leaver.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    let mut line = first(&executors);
+    has_read(&mut leaver, 2);
+    // In one turn: hundreds say something, then the executor turns the request away, hundreds more say something, and only
+    // then its client leaves.
+    program.stand_still();
+    let (before, after) = crowd.split_at_mut(300);
+    before.iter_mut().for_each(|client| client.other("isWell", 2));
+    busy(&mut line);
+    after.iter_mut().for_each(|client| client.other("isWell", 2));
+    leaver.forget(3, 1);
+    program.go_on();
+    crowd.iter_mut().for_each(|client| assert_eq!(client.receive(), Some((2, Reply::Well(true)))));
+    until(&program, "requests_forgotten", 1);
+    has_read(&mut leaver, 4);
+    assert_eq!(program.counters()["attempts_sent"], 1);
+    assert_eq!(executors.iter().map(Executor::left).sum::<usize>(), 0);
+    assert_eq!(program.counters()["clients_evicted"], 0);
+}
+
 #[test]
 fn what_came_while_the_process_stood_still_has_that_much_less_time() {
     let (program, executor, _names, mut client) = bed();
@@ -577,6 +680,24 @@
     assert_eq!(program.child.wait().expect("an end").code(), Some(0));
 }
 
+#[test]
+fn a_stop_before_the_program_is_ready_ends_well_and_answers_who_has_asked() {
+    // Nobody has told it a list, and the name service says nothing: it listens, and is not ready.
+    let names = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    let mut config = config_at(&[], &Names::start());
+    config["names"] = json!(names.local_addr().expect("an address").to_string());
+    config.as_object_mut().expect("a configuration").remove("known");
+    config["ops"] = json!("127.0.0.1:0");
+    let mut program = Program::start(&config);
+    assert_eq!(program.call("GET", "/_ready"), 503);
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("alert-send", &id(1), LONG), b"");
+    program.signal(rustix::process::Signal::TERM);
+    assert!(matches!(client.receive(), Some((1, Reply::Refused(_)))));
+    assert_eq!(client.receive(), None, "its connection is ended, not reset");
+    assert_eq!(program.child.wait().expect("an end").code(), Some(0));
+}
+
 #[test]
 fn a_reload_and_two_stops_in_one_turn_lose_nothing() {
     let (mut program, executor, _names, mut client) = bed();
--- a/tests/sockets/deployments.rs
+++ b/tests/sockets/deployments.rs
@@ -1,6 +1,7 @@
 //! The rules on sockets under two kinds of settings, by which deployments differ: one zone of repeats or all, backups
 //! or none, load reports or none. Every test plays both, and what must differ is what the settings say.
 
+use crate::id;
 use crate::stand::{Client, Executor, Names, Program, Reply, config, fields, until_counted};
 use serde_json::{Value, json};
 use std::net::Shutdown;
@@ -25,10 +26,6 @@
     client: Client,
 }
 
-fn id(n: u64) -> String {
-    format!("{n:016x}")
-}
-
 /// A dispatcher with executors in zones `a`, `b`, `a`, `b`.
 fn bed(kind: Kind, count: usize) -> Bed {
     let executors: Vec<Executor> = (0..count).map(|_| Executor::start()).collect();
--- a/tests/sockets/operators.rs
+++ b/tests/sockets/operators.rs
@@ -1,6 +1,7 @@
 //! What operators do: the door, bans, new settings, and one process that takes over from another.
 
 use crate::broker::Broker;
+use crate::id;
 use crate::stand::{Client, Executor, Names, PATIENCE, Program, Reply, config, fields, folder};
 use serde_json::{Value, json};
 use std::io::{Read, Write};
@@ -10,10 +11,6 @@
 
 const LONG: u64 = 20_000;
 
-fn id(n: u64) -> String {
-    format!("{n:016x}")
-}
-
 /// All that the processes of a dispatcher share, and two executors s0 and s1.
 struct Place {
     socket: TcpListener,
--- a/tests/sockets/thrift.rs
+++ b/tests/sockets/thrift.rs
@@ -3,30 +3,15 @@
 use crate::stand::{
     Client, Executor, Names, PATIENCE, Program, Reply, call, config, fields, message, until_counted,
 };
+use crate::{hung, id};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 const LONG: u64 = 20_000;
 
-fn id(n: u64) -> String {
-    format!("{n:016x}")
-}
-
-/// An address to which connections hang: a listener that accepts none, its queue full. It lives with the rest.
-fn hung() -> (SocketAddr, (TcpListener, Vec<TcpStream>)) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
-    let address = listener.local_addr().expect("an address");
-    let mut fill = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
-        fill.push(stream);
-        assert!(fill.len() < 100_000, "the queue never fills");
-    }
-    (address, (listener, fill))
-}
-
 /// A dispatcher with one executor, and a client of it.
 fn bed() -> (Program, Executor, Names, Client) {
     bed_with(|_| {})
@@ -227,7 +212,7 @@
 
 #[test]
 fn what_waits_for_a_connection_is_withdrawn_when_its_executor_drains() {
-    let (address, _fill) = hung();
+    let (address, _listener, _fill) = hung();
     let (program, executor, names, mut client) = bed_with(|config| {
         at(config, address);
         config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
@@ -594,7 +579,7 @@
 
 #[test]
 fn a_connection_that_does_not_come_up_in_time_proves_that_nothing_ran() {
-    let (hung, _fill) = hung();
+    let (hung, _listener, _fill) = hung();
     let (executor, names) = (Executor::start(), Names::start());
     let mut config = config(&[&executor, &executor], &names);
     at(&mut config, hung);
@@ -613,7 +598,7 @@
 #[test]
 fn what_was_given_up_before_it_was_sent_never_goes_out() {
     // The executor's queue of connections is full; it accepts, and so takes what waits, only later.
-    let (address, (listener, fill)) = hung();
+    let (address, listener, fill) = hung();
     let (program, _executor, _names, mut client) = bed_with(|config| {
         at(config, address);
         config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
--- a/tests/sockets/versions.rs
+++ b/tests/sockets/versions.rs
@@ -1,6 +1,7 @@
 //! Streamed configuration with real processes: dispatchers, the control service, and a scripted service that does
 //! what no good one does.
 
+use crate::id;
 use crate::stand::{Client, Executor, Names, PATIENCE, Program, Reply, config, fields, file, folder};
 use ochreward_control::admin::{self, Ask};
 use ochreward_stream::wire::{self, Code, Entry, FromService, PROTOCOL, ToService};
@@ -13,10 +14,6 @@
 
 const LONG: u64 = 20_000;
 
-fn id(n: u64) -> String {
-    format!("{n:016x}")
-}
-
 /// Asks again and again until it holds.
 fn until<T>(what: &str, mut holds: impl FnMut() -> Option<T>) -> T {
     let began = Instant::now();
