--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -259,6 +259,17 @@
         }
     }
 
+    /// Clients ask for nothing that is never repeated, from now on; waits until none of it is open.
+    pub fn hold_alerts(&self) {
+        self.askers.iter().flatten().for_each(|a| a.hold_alerts(true));
+        self.until_so("no alert is open", || !self.askers.iter().flatten().any(Asker::has_alert_open));
+    }
+
+    /// They ask for it again.
+    pub fn let_alerts(&self) {
+        self.askers.iter().flatten().for_each(|a| a.hold_alerts(false));
+    }
+
     /// Waits until something holds that is observed elsewhere than in the views.
     pub fn until_so(&self, what: &str, holds: impl Fn() -> bool) {
         let began = Instant::now();
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -374,12 +374,15 @@
     let mut fleet = Fleet::start(18, 5);
     fleet.until_served(&[0, 1, 2, 3, 4]);
     let used = (0..3).max_by_key(|w| fleet.workers[*w].tries()).unwrap_or(0);
+    // An alert that the worker has when it dies must fail: none is out, so that all that is asked has to be served.
+    fleet.hold_alerts();
     fleet.kill_worker(used);
     // Whoever sends to it next tells the others; those to which no connection stands look, and find it refused.
     fleet.until_so("one has told", || (0..5).any(|n| fleet.counter(n, "hints_told") > 0));
     fleet.until_so("all know", || {
         (0..5).all(|n| fleet.counter(n, "hints_told") + fleet.counter(n, "hints_heard") > 0)
     });
+    fleet.let_alerts();
     fleet.until_served(&[0, 1, 2, 3, 4]);
     fleet.restart_worker(used);
     fleet.until_served(&[0, 1, 2, 3, 4]);
