--- a/tests/sockets/crossings.rs
+++ b/tests/sockets/crossings.rs
@@ -22,6 +22,16 @@
     (program, executor, names, client)
 }
 
+/// A dispatcher with one executor to which connections come up only once a place is made, and a client of it.
+fn hung_bed() -> (Program, TcpListener, Vec<TcpStream>, Client) {
+    let (address, listener, fill) = hung();
+    let mut config = config_at(&[address], &Names::start());
+    config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
+    let program = Program::start(&config);
+    let client = Client::connect(program.address);
+    (program, listener, fill, client)
+}
+
 /// Makes a place, and returns the lines of the first connection that says something, of which there must be one.
 fn comes_up(listener: &TcpListener, fill: Vec<TcpStream>) -> BufReader<TcpStream> {
     drop(fill);
@@ -61,12 +71,7 @@
 fn an_attempt_that_waits_for_its_connection_is_not_begun_once_its_client_took_it_back() {
     // The first call of a function begins a load, which the module lets go on when the client has gone: but one that was
     // not sent yet has begun nothing.
-    let names = Names::start();
-    let (address, listener, fill) = hung();
-    let mut config = config_at(&[address], &names);
-    config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
-    let program = Program::start(&config);
-    let mut client = Client::connect(program.address);
+    let (program, listener, fill, mut client) = hung_bed();
     client.serve(1, &fields("flow-read", &id(1), LONG), b"");
     has_read(&mut client, 2);
     client.forget(3, 1);
@@ -81,12 +86,7 @@
 #[test]
 fn an_attempt_that_waits_for_its_connection_is_not_begun_once_its_client_closed() {
     for how in [Shutdown::Both, Shutdown::Write] {
-        let names = Names::start();
-        let (address, listener, fill) = hung();
-        let mut config = config_at(&[address], &names);
-        config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
-        let program = Program::start(&config);
-        let mut client = Client::connect(program.address);
+        let (program, listener, fill, mut client) = hung_bed();
         client.serve(1, &fields("flow-read", &id(1), LONG), b"");
         has_read(&mut client, 2);
         client.stream.shutdown(how).expect("closed");
