--- a/benches/halls.rs
+++ b/benches/zones.rs
@@ -1,6 +1,6 @@
-//! A hall lost and back, on real processes, paired runs in one go: worth served over the loss and the return with `[halls]`, without it,
+//! A zone lost and back, on real processes, paired runs in one go: worth served over the loss and the return with `[zones]`, without it,
 //! and by an ideal that knows the truth at once; time until all have left, and their spread; cold workers that got more than they
-//! bear; time back to full use; moves in a hall that flaps; bytes. Ends non-zero if a bound is missed.
+//! bear; time back to full use; moves in a zone that flaps; bytes. Ends non-zero if a bound is missed.
 
 use ochreward_rig::fleet::{Fleet, Setup};
 use ochreward_rig::load::Manner;
@@ -12,7 +12,7 @@
 const BEFORE: Duration = Duration::from_secs(3);
 const LOST: Duration = Duration::from_secs(3);
 const BACK: Duration = Duration::from_secs(6);
-/// Of what is served at rest, the ideal loses nothing: two halls carry all.
+/// Of what is served at rest, the ideal loses nothing: two zones carry all.
 const LEAST_WHOLE: f64 = 0.95;
 const MOST_SPREAD_MS: u128 = 300;
 
@@ -22,9 +22,9 @@
         workers: 6,
         clients: 4,
         credits: CREDITS,
-        halls: 3,
-        halls_told: if told {
-            "[halls]\nsilent_ms = 400\nstay_ms = 500\ndwell_ms = 200\n".into()
+        zones: 3,
+        zones_told: if told {
+            "[zones]\nsilent_ms = 400\nstay_ms = 500\ndwell_ms = 200\n".into()
         } else {
             String::new()
         },
@@ -52,7 +52,7 @@
     bytes: f64,
 }
 
-/// One hall dies, silently or not, and comes back cold.
+/// One zone dies, silently or not, and comes back cold.
 fn play(told: bool, silent: bool, seed: u64) -> Played {
     let mut fleet = Fleet::made(seed, 6, setup(told));
     std::thread::sleep(BEFORE);
--- a/crates/control/src/catalog.rs
+++ b/crates/control/src/catalog.rs
@@ -1,5 +1,5 @@
-//! The published versions, and what each instance gets out of one: its layers merged, `fleet`, then `hall.NAME` by its
-//! label `hall`, then `instance.NAME`.
+//! The published versions, and what each instance gets out of one: its layers merged, `fleet`, then `zone.NAME` by its
+//! label `zone`, then `instance.NAME`.
 
 use crate::record::Published;
 use ochreward_stream::{Digest, Kind, Resource, Snapshot, Version, overlay};
@@ -9,7 +9,7 @@
 
 /// Versions kept beside those in use.
 const MOST_KEPT: usize = 64;
-/// Merged snapshots kept at hand; instances of one hall share theirs.
+/// Merged snapshots kept at hand; instances of one zone share theirs.
 const MOST_MERGED: usize = 512;
 
 /// All versions that are kept, by number.
@@ -26,10 +26,10 @@
     instance: &str,
     labels: &BTreeMap<String, String>,
 ) -> Vec<(String, &'a Value)> {
-    let hall = labels.get("hall").map_or("", String::as_str);
+    let zone = labels.get("zone").map_or("", String::as_str);
     let places = [
         ("fleet".to_string(), document.get("fleet")),
-        (format!("hall.{hall}"), document.get("hall").and_then(|h| h.get(hall))),
+        (format!("zone.{zone}"), document.get("zone").and_then(|h| h.get(zone))),
         (format!("instance.{instance}"), document.get("instance").and_then(|i| i.get(instance))),
     ];
     places.into_iter().filter_map(|(name, layer)| Some((name, layer?))).collect()
@@ -47,7 +47,7 @@
             .filter(|(_, v)| !v.is_null())
             .collect()
     };
-    json!([document.get("fleet").map_or(Value::Null, of), group("hall"), group("instance")])
+    json!([document.get("fleet").map_or(Value::Null, of), group("zone"), group("instance")])
 }
 
 impl Catalog {
@@ -112,8 +112,8 @@
         let published = self.versions.get(&number)?;
         let layers = layers(&published.document, instance, labels);
         let own = layers.iter().any(|(name, _)| name.starts_with("instance."));
-        let hall = labels.get("hall").cloned().unwrap_or_default();
-        let key = (number, hall, if own { instance.to_string() } else { String::new() });
+        let zone = labels.get("zone").cloned().unwrap_or_default();
+        let key = (number, zone, if own { instance.to_string() } else { String::new() });
         if let Some(merged) = self.merged.get(&key) {
             return Some(merged.clone());
         }
@@ -162,8 +162,8 @@
 mod tests {
     use super::*;
 
-    fn hall(name: &str) -> BTreeMap<String, String> {
-        BTreeMap::from([("hall".to_string(), name.to_string())])
+    fn zone(name: &str) -> BTreeMap<String, String> {
+        BTreeMap::from([("zone".to_string(), name.to_string())])
     }
 
     #[test]
@@ -173,7 +173,7 @@
             json!({"fleet": {"limits": {"sockets": 64}, "bans": {"executors": ["a"]}}}),
             json!({"fleet": {"limits": {"sockets": 64}, "bans": {"executors": ["b"]}}}),
             json!({"fleet": {"limits": {"sockets": 64}, "bans": {"executors": ["b"]}},
-                   "hall": {"x": {"limits": {"sockets": 32}}}}),
+                   "zone": {"x": {"limits": {"sockets": 32}}}}),
         ];
         for document in &documents {
             let next = catalog.next(1, document.clone(), None, 0).expect("a new version");
@@ -186,13 +186,13 @@
         };
         assert_eq!((types(1), types(2), types(3)), ((1, 1), (1, 2), (3, 2)));
         let text = |c: &mut Catalog, h: &str| {
-            c.snapshot(3, "n", &hall(h))
+            c.snapshot(3, "n", &zone(h))
                 .and_then(|s| s.resources.get(&Kind::Limits).map(|r| r.text.to_string()))
         };
         assert_eq!(text(&mut catalog, "x").as_deref(), Some("{\"sockets\":32}"));
         assert_eq!(text(&mut catalog, "y").as_deref(), Some("{\"sockets\":64}"));
-        let why = catalog.explain(3, "n", &hall("x")).expect("a version");
-        assert_eq!(why["limits.sockets"], (json!(32), "hall.x".to_string()));
+        let why = catalog.explain(3, "n", &zone("x")).expect("a version");
+        assert_eq!(why["limits.sockets"], (json!(32), "zone.x".to_string()));
         assert_eq!(why["bans.executors"], (json!(["b"]), "fleet".to_string()));
     }
 
--- a/crates/control/tests/service.rs
+++ b/crates/control/tests/service.rs
@@ -16,7 +16,7 @@
 
 fn document(n: u64) -> Value {
     json!({"fleet": {"settings": {"limits": {"max_open": n}}, "bans": {"executors": []}},
-           "hall": {"b": {"limits": {"sockets": 64}}}})
+           "zone": {"b": {"limits": {"sockets": 64}}}})
 }
 
 /// An instance: takes what it is offered, or turns one number down.
@@ -59,11 +59,11 @@
     fn connect(&mut self, name: &str) {
         let model = &self.models[name];
         let role = if name == "n00" { "canary" } else { "usual" };
-        let hall = if name < "n04" { "a" } else { "b" };
+        let zone = if name < "n04" { "a" } else { "b" };
         let hello = Hello {
             protocol: PROTOCOL,
             instance: name.to_string(),
-            labels: BTreeMap::from([("role".into(), role.into()), ("hall".into(), hall.into())]),
+            labels: BTreeMap::from([("role".into(), role.into()), ("zone".into(), zone.into())]),
             running: model.running.as_ref().map(|r| r.version),
             highest: Version::default(),
             epoch: 0,
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -54,8 +54,8 @@
 /// What a member tells of itself.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Record {
-    /// Its hall.
-    pub hall: Arc<str>,
+    /// Its zone.
+    pub zone: Arc<str>,
     /// The program's version.
     pub program: Arc<str>,
     /// The version of its configuration; 0 for none.
@@ -91,7 +91,7 @@
     fn fits(&self) -> bool {
         !self.name.is_empty()
             && self.name.len() <= MOST_NAME
-            && self.record.hall.len() <= MOST_TEXT
+            && self.record.zone.len() <= MOST_TEXT
             && self.record.program.len() <= MOST_TEXT
     }
 }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -37,10 +37,10 @@
     pub manner: Manner,
     /// Whether every request of a dispatcher that was not killed must be served.
     pub strict: bool,
-    /// Halls, over which dispatchers and workers are spread in turn.
-    pub halls: usize,
-    /// `[halls]` of the operator's files; empty: none.
-    pub halls_told: String,
+    /// Zones, over which dispatchers and workers are spread in turn.
+    pub zones: usize,
+    /// `[zones]` of the operator's files; empty: none.
+    pub zones_told: String,
     /// The time until a worker that starts is warm.
     pub warm: Duration,
 }
@@ -56,8 +56,8 @@
             clients: 1,
             manner: Manner::default(),
             strict: true,
-            halls: 1,
-            halls_told: String::new(),
+            zones: 1,
+            zones_told: String::new(),
             warm: Duration::from_secs(14),
         }
     }
@@ -102,9 +102,9 @@
     format!("g{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed))
 }
 
-/// A hall's name.
-pub fn hall(n: usize) -> String {
-    format!("hall-{}", char::from(b'a' + n as u8))
+/// A zone's name.
+pub fn zone(n: usize) -> String {
+    format!("zone-{}", char::from(b'a' + n as u8))
 }
 
 /// A dispatcher's name.
@@ -137,8 +137,8 @@
         before(&relay);
         let workers: Vec<Worker> = (0..setup.workers).map(|_| Worker::with(setup.power)).collect();
         let to: Vec<SocketAddr> = workers.iter().map(|w| w.address).collect();
-        // Only halls can be cut off from workers; else each is reached straight.
-        let crossing = Crossing::start(if setup.halls > 1 { count } else { 0 }, &to);
+        // Only zones can be cut off from workers; else each is reached straight.
+        let crossing = Crossing::start(if setup.zones > 1 { count } else { 0 }, &to);
         let mut fleet = Fleet {
             relay,
             history: History::default(),
@@ -176,15 +176,15 @@
     /// A dispatcher's configuration.
     pub fn config(&self, n: usize) -> Value {
         let straight: Vec<_> = self.workers.iter().map(|w| w.address).collect();
-        let addresses = if self.setup.halls > 1 { self.crossing.addresses(n) } else { &straight };
+        let addresses = if self.setup.zones > 1 { self.crossing.addresses(n) } else { &straight };
         let mut config = stand::config_at(addresses, &self.names[n % 2]);
-        if self.setup.halls > 1 {
-            let zones: Vec<String> = (0..self.setup.halls).map(hall).collect();
-            config["settings"]["my_zone"] = json!(n % self.setup.halls);
+        if self.setup.zones > 1 {
+            let zones: Vec<String> = (0..self.setup.zones).map(zone).collect();
+            config["settings"]["my_zone"] = json!(n % self.setup.zones);
             config["settings"]["zones"] = json!(zones);
             let list = &mut config["known"]["batch"][0]["topology"]["instances"];
             for w in 0..straight.len() {
-                list[w]["zone"] = json!(hall(w % self.setup.halls));
+                list[w]["zone"] = json!(zone(w % self.setup.zones));
             }
         }
         config["settings"]["rules"]["warm_after_us"] = json!(self.setup.warm.as_micros() as u64);
@@ -275,9 +275,9 @@
         let began = Instant::now();
         while !holds() {
             if began.elapsed() >= PATIENCE {
-                let halls: Vec<String> =
-                    (0..self.count()).filter_map(|n| Some(self.halls(n)?.to_string())).collect();
-                panic!("seed {}: never came: {what}\n{}\n{}", self.seed, self.history, halls.join("\n"));
+                let zones: Vec<String> =
+                    (0..self.count()).filter_map(|n| Some(self.zones(n)?.to_string())).collect();
+                panic!("seed {}: never came: {what}\n{}\n{}", self.seed, self.history, zones.join("\n"));
             }
             std::thread::sleep(Duration::from_millis(10));
         }
@@ -290,9 +290,9 @@
             (0..self.count().min(3)).map(|s| format!("{:?}", self.relay.address(s).to_string())).collect();
         let older = self.setup.older.contains(&n);
         let overload = if older { "" } else { &self.setup.overload };
-        let (halls, home) = (if older { "" } else { &self.setup.halls_told }, hall(n % self.setup.halls));
+        let (zones, home) = (if older { "" } else { &self.setup.zones_told }, zone(n % self.setup.zones));
         stand::file(&format!(
-            "{overload}\n{halls}\n[peers]\ngroup = \"{}\"\nlisten = \"127.0.0.1:0\"\nreach = {{ {} = {:?} }}\nseeds = [{}]\nhall = \"{home}\"\nprobe_ms = 100\n\
+            "{overload}\n{zones}\n[peers]\ngroup = \"{}\"\nlisten = \"127.0.0.1:0\"\nreach = {{ {} = {:?} }}\nseeds = [{}]\nzone = \"{home}\"\nprobe_ms = 100\n\
              probe_timeout_ms = 40\nsync_ms = 200\nhold_ms = {}\njoin_patience_ms = 500\n",
             self.group,
             name(n),
@@ -398,27 +398,27 @@
         self.programs[n].as_ref().and_then(Program::budgets_report)
     }
 
-    /// What a dispatcher knows of halls.
-    pub fn halls(&self, n: usize) -> Option<Value> {
-        self.programs[n].as_ref().and_then(Program::halls_report)
+    /// What a dispatcher knows of zones.
+    pub fn zones(&self, n: usize) -> Option<Value> {
+        self.programs[n].as_ref().and_then(Program::zones_report)
     }
 
-    /// Its step and epoch to a hall.
+    /// Its step and epoch to a zone.
     pub fn step(&self, n: usize, of: usize) -> Option<(u64, u64)> {
-        let report = self.halls(n)?;
-        let own = hall(of);
-        let told = report["halls"].as_array()?.iter().find(|h| h["hall"] == *own)?;
+        let report = self.zones(n)?;
+        let own = zone(of);
+        let told = report["zones"].as_array()?.iter().find(|h| h["zone"] == *own)?;
         told["step"].as_u64().zip(told["epoch"].as_u64())
     }
 
-    /// Dispatchers that stand in a hall, or those that do not.
-    pub fn of_hall(&self, of: usize, inside: bool) -> Vec<usize> {
-        (0..self.count()).filter(|n| (n % self.setup.halls == of) == inside).collect()
+    /// Dispatchers that stand in a zone, or those that do not.
+    pub fn of_zone(&self, of: usize, inside: bool) -> Vec<usize> {
+        (0..self.count()).filter(|n| (n % self.setup.zones == of) == inside).collect()
     }
 
-    /// Workers that stand in a hall.
+    /// Workers that stand in a zone.
     pub fn workers_of(&self, of: usize) -> Vec<usize> {
-        (0..self.workers.len()).filter(|w| w % self.setup.halls == of).collect()
+        (0..self.workers.len()).filter(|w| w % self.setup.zones == of).collect()
     }
 
     /// Calls a dispatcher's door; the status.
--- a/crates/rig/src/stand.rs
+++ b/crates/rig/src/stand.rs
@@ -187,9 +187,9 @@
         head.contains(" 200 ").then(|| serde_json::from_str(body.trim_end()).ok()).flatten()
     }
 
-    /// What it knows of halls, if it watches any.
-    pub fn halls_report(&self) -> Option<Value> {
-        let text = self.asked_at_door("GET /_halls HTTP/1.1\r\nHost: door\r\n\r\n").ok()?;
+    /// What it knows of zones, if it watches any.
+    pub fn zones_report(&self) -> Option<Value> {
+        let text = self.asked_at_door("GET /_zones HTTP/1.1\r\nHost: door\r\n\r\n").ok()?;
         let (head, body) = text.split_once("\r\n\r\n")?;
         head.contains(" 200 ").then(|| serde_json::from_str(body.trim_end()).ok()).flatten()
     }
--- a/crates/halls/src/place.rs
+++ b/crates/zones/src/place.rs
@@ -1,4 +1,4 @@
-//! Where a group stands to one hall: its step, the epoch of it, and the times of the way back.
+//! Where a group stands to one zone: its step, the epoch of it, and the times of the way back.
 
 use crate::{Micros, Terms};
 use serde::{Deserialize, Serialize};
@@ -12,7 +12,7 @@
 /// Leavings that follow each other within this time make the next stay longer, up to so many doublings.
 const CALM: Micros = 60_000_000;
 const MOST_DOUBLINGS: u32 = 4;
-/// A stay is longer by up to this share of it, alike for all of a fleet and another for each hall and epoch.
+/// A stay is longer by up to this share of it, alike for all of a fleet and another for each zone and epoch.
 const JITTER: u64 = 4;
 
 /// Why a step is what it is.
@@ -46,7 +46,7 @@
     pub since: Micros,
     /// Not higher before this.
     pub until: Micros,
-    /// When the way back began: the first answers after the hall was left.
+    /// When the way back began: the first answers after the zone was left.
     pub back: Option<Micros>,
     /// Answers that this member had in this epoch.
     pub good: u32,
@@ -81,9 +81,9 @@
 
 impl Place {
     /// Moves down: from the top a leaving, on the way back one step. `past` is the epoch of those that went before, if any.
-    pub fn down(&mut self, now: Micros, hall: &str, step: u8, reason: Reason, past: u64, terms: &Terms) {
+    pub fn down(&mut self, now: Micros, zone: &str, step: u8, reason: Reason, past: u64, terms: &Terms) {
         self.moved(now, self.epoch.saturating_add(1).max(past), step, reason);
-        self.stay(now, hall, terms);
+        self.stay(now, zone, terms);
     }
 
     /// One step up.
@@ -96,7 +96,7 @@
     }
 
     /// Stands where others of the group stand.
-    pub fn follow(&mut self, now: Micros, hall: &str, to: (u64, u8, Reason), terms: &Terms) {
+    pub fn follow(&mut self, now: Micros, zone: &str, to: (u64, u8, Reason), terms: &Terms) {
         let (epoch, step, reason) = to;
         if step != self.step {
             let down = step < self.step;
@@ -105,7 +105,7 @@
             }
             self.moved(now, epoch, step, reason);
             if down {
-                self.stay(now, hall, terms);
+                self.stay(now, zone, terms);
             } else {
                 self.until = now + terms.dwell;
             }
@@ -124,17 +124,17 @@
     }
 
     /// Begins a stay: longer each time, as long as no calm time lies between; forgotten after one.
-    fn stay(&mut self, now: Micros, hall: &str, terms: &Terms) {
+    fn stay(&mut self, now: Micros, zone: &str, terms: &Terms) {
         let again = self.left.is_some_and(|left| now < left + CALM);
         self.leaves = if again { (self.leaves + 1).min(MOST_DOUBLINGS) } else { 0 };
         self.left = Some(now);
         let stay = terms.stay << self.leaves;
         let mut hasher = SipHasher13::new();
-        (hall, self.epoch).hash(&mut hasher);
+        (zone, self.epoch).hash(&mut hasher);
         self.until = now + stay + hasher.finish() % (stay / JITTER).max(1);
     }
 
-    /// What of its usual traffic the hall bears now, in thousandths.
+    /// What of its usual traffic the zone bears now, in thousandths.
     pub fn bears(&self, now: Micros, pace: Pace, terms: &Terms) -> u64 {
         let (Some(back), Pace::Cold) = (self.back, pace) else { return 1_000 };
         let age = now.saturating_sub(back).min(terms.warm);
--- a/crates/halls/src/sight.rs
+++ b/crates/zones/src/sight.rs
@@ -1,21 +1,21 @@
-//! What one member sees of the halls: a bounded, fading record of its own attempts for each worker, causes apart.
+//! What one member sees of the zones: a bounded, fading record of its own attempts for each worker, causes apart.
 //!
-//! A hall is judged by its workers and not by its requests: one worker that fails fast draws many requests and is one worker. And
-//! a member judges itself first: where no hall is well to it, the fault may be its own, or everybody's (the shared store), and
-//! it says nothing of halls.
+//! A zone is judged by its workers and not by its requests: one worker that fails fast draws many requests and is one worker. And
+//! a member judges itself first: where no zone is well to it, the fault may be its own, or everybody's (the shared store), and
+//! it says nothing of zones.
 
 use crate::{MOST_KINDS, MOST_WORKERS, Micros, Terms};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-/// Of the workers that tell something, so many hundredths decide what is said of their hall.
+/// Of the workers that tell something, so many hundredths decide what is said of their zone.
 const MOST_OF: usize = 60;
-/// A worker is slow beyond this multiple of what is usual, over the best of the other halls.
+/// A worker is slow beyond this multiple of what is usual, over the best of the other zones.
 const SLOW: f64 = 3.0;
 /// The last answers of a worker tell whether it is slow: the one in the middle.
 const LAST: usize = 3;
-/// Weight of a new answer in the usual time of a kind of request: of one that was quicker, and of one that was not, so that a hall
+/// Weight of a new answer in the usual time of a kind of request: of one that was quicker, and of one that was not, so that a zone
 /// that is slow for long does not become the usual.
 const LEARN_QUICKER: f64 = 0.05;
 const LEARN_SLOWER: f64 = 0.005;
@@ -36,7 +36,7 @@
     GivenUp,
 }
 
-/// What is said of a hall.
+/// What is said of a zone.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Opinion {
     /// Too little was seen, or the fault may be the witness's own.
@@ -61,7 +61,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct Worker {
-    hall: Arc<str>,
+    zone: Arc<str>,
     open: u32,
     /// The oldest send since it was last heard, where something is open.
     waiting: Option<Micros>,
@@ -118,7 +118,7 @@
     }
 }
 
-/// Answers a second from a hall, now and at the most.
+/// Answers a second from a zone, now and at the most.
 #[derive(Clone, Copy, Debug, Default)]
 struct Rate {
     at: Micros,
@@ -139,29 +139,29 @@
 #[derive(Clone, Debug, Default)]
 pub struct Sight {
     workers: BTreeMap<Arc<str>, Worker>,
-    /// The usual time of a kind of request, over all halls.
+    /// The usual time of a kind of request, over all zones.
     usual: BTreeMap<u64, f64>,
     rates: BTreeMap<Arc<str>, Rate>,
-    /// Since when each hall has been slower than others.
+    /// Since when each zone has been slower than others.
     slower: BTreeMap<Arc<str>, Micros>,
 }
 
 impl Sight {
-    /// The workers there are, and their halls; of others all is forgotten.
+    /// The workers there are, and their zones; of others all is forgotten.
     pub fn listed(&mut self, list: &[(Arc<str>, Arc<str>)]) {
         let mut old = std::mem::take(&mut self.workers);
-        for (worker, hall) in list.iter().take(MOST_WORKERS) {
-            let known = old.remove(worker).filter(|w| w.hall == *hall);
-            let fresh = || Worker { hall: hall.clone(), ..Worker::default() };
+        for (worker, zone) in list.iter().take(MOST_WORKERS) {
+            let known = old.remove(worker).filter(|w| w.zone == *zone);
+            let fresh = || Worker { zone: zone.clone(), ..Worker::default() };
             self.workers.insert(worker.clone(), known.unwrap_or_else(fresh));
         }
         let workers = &self.workers;
-        self.rates.retain(|hall, _| workers.values().any(|w| w.hall == *hall));
+        self.rates.retain(|zone, _| workers.values().any(|w| w.zone == *zone));
     }
 
-    /// The hall of a worker.
-    pub fn hall(&self, worker: &str) -> Option<Arc<str>> {
-        self.workers.get(worker).map(|w| w.hall.clone())
+    /// The zone of a worker.
+    pub fn zone(&self, worker: &str) -> Option<Arc<str>> {
+        self.workers.get(worker).map(|w| w.zone.clone())
     }
 
     /// Something was sent to a worker.
@@ -190,7 +190,7 @@
                         self.usual.insert(kind, took as f64);
                     }
                 }
-                let rate = self.rates.entry(w.hall.clone()).or_default();
+                let rate = self.rates.entry(w.zone.clone()).or_default();
                 rate.fade(now);
                 rate.now += 1e6 / RATE;
                 rate.peak = rate.peak.max(rate.now);
@@ -219,30 +219,30 @@
         }
     }
 
-    /// Whether anything was answered from a hall of late.
-    pub fn answers(&self, now: Micros, hall: &str, terms: &Terms) -> bool {
+    /// Whether anything was answered from a zone of late.
+    pub fn answers(&self, now: Micros, zone: &str, terms: &Terms) -> bool {
         let lately = |w: &Worker| w.heard.is_some_and(|at| now < at + terms.heard());
-        self.workers.values().any(|w| &*w.hall == hall && lately(w))
+        self.workers.values().any(|w| &*w.zone == zone && lately(w))
     }
 
-    /// The halls with workers.
-    pub fn halls(&self) -> Vec<Arc<str>> {
-        let mut halls: Vec<Arc<str>> = self.workers.values().map(|w| w.hall.clone()).collect();
-        halls.sort_unstable();
-        halls.dedup();
-        halls
+    /// The zones with workers.
+    pub fn zones(&self) -> Vec<Arc<str>> {
+        let mut zones: Vec<Arc<str>> = self.workers.values().map(|w| w.zone.clone()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones
     }
 
-    /// Answers a second from a hall, now and at its best of late, in thousandths.
-    pub fn rate(&mut self, now: Micros, hall: &str) -> (u32, u32) {
-        let Some(rate) = self.rates.get_mut(hall) else { return (0, 0) };
+    /// Answers a second from a zone, now and at its best of late, in thousandths.
+    pub fn rate(&mut self, now: Micros, zone: &str) -> (u32, u32) {
+        let Some(rate) = self.rates.get_mut(zone) else { return (0, 0) };
         rate.fade(now);
         ((rate.now * 1e3) as u32, (rate.peak * 1e3) as u32)
     }
 
-    /// What the workers of a hall tell by themselves, by what was seen since then.
-    fn plain(&self, now: Micros, hall: &str, since: Micros, terms: &Terms) -> Opinion {
-        let all = || self.workers.values().filter(|w| &*w.hall == hall);
+    /// What the workers of a zone tell by themselves, by what was seen since then.
+    fn plain(&self, now: Micros, zone: &str, since: Micros, terms: &Terms) -> Opinion {
+        let all = || self.workers.values().filter(|w| &*w.zone == zone);
         let told: Vec<Opinion> =
             all().map(|w| w.tells(now, since, terms)).filter(|o| *o != Opinion::None).collect();
         let known = told.len();
@@ -251,7 +251,7 @@
         let (gone, silent, slow) = (of(Opinion::Gone), of(Opinion::Silent), of(Opinion::Slow));
         match known {
             0 => Opinion::None,
-            // Two, or half of them: one that fails is no hall.
+            // Two, or half of them: one that fails is no zone.
             _ if known < all().count().div_ceil(2).min(2) && gone + silent + slow > 0 => Opinion::None,
             _ if most(gone + silent) && gone >= silent => Opinion::Gone,
             _ if most(gone + silent) => Opinion::Silent,
@@ -261,39 +261,39 @@
         }
     }
 
-    /// Whether a hall is slow against the best worker of another, by answers of the same time, and has answered late after that showed
-    /// for a while. Danger: where the store slows all, halls get slow and quick again one after the other, as answers come.
-    fn slower(&mut self, now: Micros, hall: &Arc<str>, terms: &Terms) -> bool {
-        let own = || self.workers.values().filter(|w| w.hall == *hall && w.slow_since.is_some());
+    /// Whether a zone is slow against the best worker of another, by answers of the same time, and has answered late after that showed
+    /// for a while. Danger: where the store slows all, zones get slow and quick again one after the other, as answers come.
+    fn slower(&mut self, now: Micros, zone: &Arc<str>, terms: &Terms) -> bool {
+        let own = || self.workers.values().filter(|w| w.zone == *zone && w.slow_since.is_some());
         let since = own().filter_map(|w| w.slow_since).min().unwrap_or(now);
         let last = own().filter_map(|w| w.last.back()).map(|(at, _)| *at).max().unwrap_or(0);
         let slowness = own().filter_map(Worker::slowness).fold(f64::INFINITY, f64::min);
-        let others = self.workers.values().filter(|w| w.hall != *hall);
+        let others = self.workers.values().filter(|w| w.zone != *zone);
         let answers = |w: &&Worker| w.heard.is_some_and(|at| now < at + terms.fresh);
         let best =
             others.filter(answers).filter_map(|w| w.slowness_since(since)).fold(f64::INFINITY, f64::min);
         if !(best.is_finite() && slowness.is_finite() && slowness >= SLOW * best) {
-            self.slower.remove(hall);
+            self.slower.remove(zone);
             return false;
         }
-        let began = *self.slower.entry(hall.clone()).or_insert(now);
+        let began = *self.slower.entry(zone.clone()).or_insert(now);
         last >= began + terms.silent
     }
 
-    /// What this member says of each of these halls, each by what was seen since its own time.
-    pub fn opinions(&mut self, now: Micros, halls: &[(Arc<str>, Micros)], terms: &Terms) -> Vec<Opinion> {
+    /// What this member says of each of these zones, each by what was seen since its own time.
+    pub fn opinions(&mut self, now: Micros, zones: &[(Arc<str>, Micros)], terms: &Terms) -> Vec<Opinion> {
         let plain: Vec<Opinion> =
-            halls.iter().map(|(hall, since)| self.plain(now, hall, *since, terms)).collect();
-        let slower: Vec<bool> = halls.iter().map(|(hall, _)| self.slower(now, hall, terms)).collect();
+            zones.iter().map(|(zone, since)| self.plain(now, zone, *since, terms)).collect();
+        let slower: Vec<bool> = zones.iter().map(|(zone, _)| self.slower(now, zone, terms)).collect();
         let says = |place: usize| {
             let others = || plain.iter().enumerate().filter(|(n, _)| *n != place).map(|(_, p)| p);
             let well = others().any(|o| *o == Opinion::Well);
             match plain[place] {
-                // A refusal comes from the other side, so that it is no fault of one's own link; still, where another hall
+                // A refusal comes from the other side, so that it is no fault of one's own link; still, where another zone
                 // fails as well and none is well, nothing is said.
                 Opinion::Gone if well || !others().any(|o| o.bad()) => Opinion::Gone,
                 Opinion::Silent if well => Opinion::Silent,
-                // All halls slow alike is the store, a release or the load, and no hall's fault.
+                // All zones slow alike is the store, a release or the load, and no zone's fault.
                 Opinion::Slow if slower[place] => Opinion::Slow,
                 Opinion::Well => Opinion::Well,
                 _ => Opinion::None,
@@ -313,15 +313,15 @@
         let mut sight = Sight::default();
         let list: Vec<(Arc<str>, Arc<str>)> = ["a", "b", "c"]
             .iter()
-            .flat_map(|hall| (0..3).map(move |n| (format!("{hall}{n}").into(), Arc::from(*hall))))
+            .flat_map(|zone| (0..3).map(move |n| (format!("{zone}{n}").into(), Arc::from(*zone))))
             .collect();
         sight.listed(&list);
         sight
     }
 
     fn says(sight: &mut Sight, now: Micros) -> [Opinion; 3] {
-        let halls: Vec<(Arc<str>, Micros)> = sight.halls().into_iter().map(|h| (h, 0)).collect();
-        sight.opinions(now, &halls, &Terms::default()).try_into().expect("three halls")
+        let zones: Vec<(Arc<str>, Micros)> = sight.zones().into_iter().map(|h| (h, 0)).collect();
+        sight.opinions(now, &zones, &Terms::default()).try_into().expect("three zones")
     }
 
     fn attempt(sight: &mut Sight, now: Micros, worker: &str, end: End) {
@@ -329,8 +329,8 @@
         sight.ended(now, worker, end, &Terms::default());
     }
 
-    fn each(sight: &mut Sight, now: Micros, hall: &str, end: End) {
-        (0..3).for_each(|n| attempt(sight, now, &format!("{hall}{n}"), end));
+    fn each(sight: &mut Sight, now: Micros, zone: &str, end: End) {
+        (0..3).for_each(|n| attempt(sight, now, &format!("{zone}{n}"), end));
     }
 
     const OK: End = End::Answered(1, Some(50 * MS));
@@ -364,7 +364,7 @@
     }
 
     #[test]
-    fn one_bad_worker_is_no_hall_and_all_halls_alike_are_no_ones_fault() {
+    fn one_bad_worker_is_no_zone_and_all_zones_alike_are_no_ones_fault() {
         use Opinion::*;
         let mut s = sight();
         ["a", "b", "c"].iter().for_each(|h| each(&mut s, MS, h, OK));
--- a/crates/halls/src/votes.rs
+++ b/crates/zones/src/votes.rs
@@ -1,17 +1,17 @@
 //! What the reports of a group come to. Arithmetic alone.
 //!
-//! Who has seen nothing of a hall has no vote on it. Those that have must be more than half of one mind, and a quarter of the group
-//! must be of it ([`quorum`]): so a minority of those that use the hall moves nothing, and fewer than a quarter of the group move
+//! Who has seen nothing of a zone has no vote on it. Those that have must be more than half of one mind, and a quarter of the group
+//! must be of it ([`quorum`]): so a minority of those that use the zone moves nothing, and fewer than a quarter of the group move
 //! nothing whatever the others see.
 
-use crate::{HallWord, Opinion, Place, Reason, Rules, TOP};
+use crate::{Opinion, Place, Reason, Rules, TOP, ZoneWord};
 
 /// How many of one mind it takes in a group of so many: both of two, else a quarter, two at the least.
 pub fn quorum(group: usize) -> usize {
     if group <= 2 { group.max(1) } else { group.div_ceil(4).max(2) }
 }
 
-/// Votes on one hall.
+/// Votes on one zone.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Votes {
     /// Members of the group, this one among them.
@@ -70,7 +70,7 @@
 
     /// Takes the word of a member of the same group, which stands in the same epoch or another. Danger: a word of an epoch that is
     /// over tells of what was before.
-    pub fn hear(&mut self, word: &HallWord, own: &Place, rules: Rules) {
+    pub fn hear(&mut self, word: &ZoneWord, own: &Place, rules: Rules) {
         let same = word.epoch == own.epoch || (word.step == TOP && own.step == TOP) || !rules.epochs;
         if same {
             self.add(word.opinion);
--- a/crates/halls/src/wire.rs
+++ b/crates/zones/src/wire.rs
@@ -1,14 +1,14 @@
-//! What members tell each other of halls: one report a note, in postcard's encoding, first hand only.
+//! What members tell each other of zones: one report a note, in postcard's encoding, first hand only.
 
-use crate::{MOST_HALLS, MOST_NAME, Opinion, Reason, TOP};
+use crate::{MOST_NAME, MOST_ZONES, Opinion, Reason, TOP};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
-/// Of one hall.
+/// Of one zone.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HallWord {
+pub struct ZoneWord {
     /// Its name.
-    pub hall: Arc<str>,
+    pub zone: Arc<str>,
     /// What the sender sees of it.
     pub opinion: Opinion,
     /// The sender's epoch, and its step in it.
@@ -30,8 +30,8 @@
 /// All that a member tells.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
-    /// Hall by hall.
-    pub halls: Vec<HallWord>,
+    /// Zone by zone.
+    pub zones: Vec<ZoneWord>,
 }
 
 impl Report {
@@ -40,11 +40,11 @@
         postcard::to_stdvec(self).unwrap_or_default()
     }
 
-    /// From bytes; none for what is no report, has more behind it, or names more halls or steps than there may be.
+    /// From bytes; none for what is no report, has more behind it, or names more zones or steps than there may be.
     pub fn read(bytes: &[u8]) -> Option<Report> {
         let (report, rest) = postcard::take_from_bytes::<Report>(bytes).ok()?;
-        let sound = |w: &HallWord| w.step <= TOP && w.hall.len() <= MOST_NAME && !w.hall.is_empty();
-        let whole = rest.is_empty() && report.halls.len() <= MOST_HALLS && report.halls.iter().all(sound);
+        let sound = |w: &ZoneWord| w.step <= TOP && w.zone.len() <= MOST_NAME && !w.zone.is_empty();
+        let whole = rest.is_empty() && report.zones.len() <= MOST_ZONES && report.zones.iter().all(sound);
         whole.then_some(report)
     }
 }
@@ -54,9 +54,9 @@
     use super::*;
     use proptest::prelude::*;
 
-    fn word(hall: &str) -> HallWord {
-        HallWord {
-            hall: hall.into(),
+    fn word(zone: &str) -> ZoneWord {
+        ZoneWord {
+            zone: zone.into(),
             opinion: Opinion::Silent,
             epoch: u64::MAX,
             step: TOP,
@@ -70,16 +70,16 @@
 
     #[test]
     fn what_is_written_is_read_and_fits_a_note() {
-        let names: Vec<String> = (0..MOST_HALLS).map(|n| format!("{n:0>32}")).collect();
-        let report = Report { halls: names.iter().map(|n| word(n)).collect() };
+        let names: Vec<String> = (0..MOST_ZONES).map(|n| format!("{n:0>32}")).collect();
+        let report = Report { zones: names.iter().map(|n| word(n)).collect() };
         let bytes = report.written();
         assert!(bytes.len() <= 900, "{}", bytes.len());
         assert_eq!(Report::read(&bytes), Some(report.clone()));
         assert_eq!(Report::read(&bytes[..bytes.len() - 1]), None);
-        for broken in [HallWord { step: TOP + 1, ..word("a") }, word(""), word(&"x".repeat(MOST_NAME + 1))] {
-            assert_eq!(Report::read(&Report { halls: vec![broken] }.written()), None);
+        for broken in [ZoneWord { step: TOP + 1, ..word("a") }, word(""), word(&"x".repeat(MOST_NAME + 1))] {
+            assert_eq!(Report::read(&Report { zones: vec![broken] }.written()), None);
         }
-        let many = Report { halls: vec![word("a"); MOST_HALLS + 1] };
+        let many = Report { zones: vec![word("a"); MOST_ZONES + 1] };
         assert_eq!(Report::read(&many.written()), None);
     }
 
--- a/crates/halls/tests/schedules.rs
+++ b/crates/zones/tests/schedules.rs
@@ -1,11 +1,11 @@
-//! The machines of a whole fleet in simulated time, under thousands of seeded schedules: halls that die, fall silent, slow down and
-//! flap, cuts of halls with and without their dispatchers, members that stand still, start anew or lie, lost and late reports.
+//! The machines of a whole fleet in simulated time, under thousands of seeded schedules: zones that die, fall silent, slow down and
+//! flap, cuts of zones with and without their dispatchers, members that stand still, start anew or lie, lost and late reports.
 //!
-//! Each schedule ends in a heal. Judged: all members of a group stand alike within a bound after it; no hall is left where no hall
-//! had a fault; what goes through the gates to a hall that returns is never above what its workers bear together.
+//! Each schedule ends in a heal. Judged: all members of a group stand alike within a bound after it; no zone is left where no zone
+//! had a fault; what goes through the gates to a zone that returns is never above what its workers bear together.
 //! `SCHEDULES=N` plays so many, `SCHEDULE=seed` one again, and prints what happened; a schedule that fails is made shorter first.
 
-use ochreward_halls::{End, Halls, Opinion, Report, Rules, TOP, Terms, View};
+use ochreward_zones::{End, Opinion, Report, Rules, TOP, Terms, View, Zones};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -27,14 +27,14 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Fault {
-    /// A hall's workers are gone, and start anew after it.
+    /// A zone's workers are gone, and start anew after it.
     Dead(usize),
     /// They say nothing, to anybody.
     Silent(usize),
     Slow(usize),
-    /// Workers of a hall are cut off from members of others; with the hall's members, or alone.
+    /// Workers of a zone are cut off from members of others; with the zone's members, or alone.
     Cut(usize, bool),
-    /// All halls are slow alike.
+    /// All zones are slow alike.
     Store,
     /// A member stands still, or starts anew.
     Stall(usize),
@@ -47,7 +47,7 @@
 struct Schedule {
     seed: u64,
     members: usize,
-    halls: usize,
+    zones: usize,
     /// When each begins and ends.
     faults: Vec<(u64, u64, Fault)>,
     loss: u64,
@@ -60,18 +60,18 @@
 impl Schedule {
     fn draw(seed: u64, members: usize) -> Schedule {
         let mut rng = Pcg32::seed_from_u64(seed);
-        let halls = 3 + below(&mut rng, 4) as usize;
-        let members = members.max(halls);
+        let zones = 3 + below(&mut rng, 4) as usize;
+        let members = members.max(zones);
         let count = 1 + below(&mut rng, 4);
         let faults = (0..count).map(|_| {
-            let (hall, member) =
-                (below(&mut rng, halls as u64) as usize, below(&mut rng, members as u64) as usize);
+            let (zone, member) =
+                (below(&mut rng, zones as u64) as usize, below(&mut rng, members as u64) as usize);
             let fault = match below(&mut rng, 10) {
-                0 | 1 => Fault::Dead(hall),
-                2 => Fault::Silent(hall),
-                3 => Fault::Slow(hall),
-                4 => Fault::Cut(hall, false),
-                5 => Fault::Cut(hall, true),
+                0 | 1 => Fault::Dead(zone),
+                2 => Fault::Silent(zone),
+                3 => Fault::Slow(zone),
+                4 => Fault::Cut(zone, false),
+                5 => Fault::Cut(zone, true),
                 6 => Fault::Store,
                 7 => Fault::Stall(member),
                 8 => Fault::Restart(member),
@@ -80,7 +80,7 @@
             let from = 2 * S + below(&mut rng, 6 * S);
             (from, from + 300 * MS + below(&mut rng, 5 * S), fault)
         });
-        Schedule { seed, members, halls, faults: faults.collect(), loss: below(&mut rng, 10) }
+        Schedule { seed, members, zones, faults: faults.collect(), loss: below(&mut rng, 10) }
     }
 
     fn is(&self, now: u64, holds: impl Fn(Fault) -> bool) -> bool {
@@ -91,7 +91,7 @@
         self.faults.iter().map(|(_, to, _)| *to).max().unwrap_or(0)
     }
 
-    /// No hall has a fault in it, and none is cut off.
+    /// No zone has a fault in it, and none is cut off.
     fn harmless(&self) -> bool {
         !self
             .faults
@@ -100,7 +100,7 @@
     }
 }
 
-/// An attempt's end: when, its number, the member, its life, the worker's hall and number, how, and when it was sent.
+/// An attempt's end: when, its number, the member, its life, the worker's zone and number, how, and when it was sent.
 type Ends = Reverse<(u64, u64, usize, u64, usize, usize, u8, u64)>;
 type Words = Reverse<(u64, u64, usize, usize, Vec<u8>)>;
 
@@ -108,19 +108,19 @@
     plan: &'a Schedule,
     rng: Pcg32,
     now: u64,
-    members: Vec<Halls>,
+    members: Vec<Zones>,
     /// Counts the lives of each member.
     lives: Vec<u64>,
     names: Vec<Arc<str>>,
-    halls: Vec<Arc<str>>,
+    zones: Vec<Arc<str>>,
     list: Vec<(Arc<str>, Arc<str>)>,
     ends: BinaryHeap<Ends>,
     words: BinaryHeap<Words>,
     serial: u64,
     rules: Rules,
-    /// When each hall's workers last began.
+    /// When each zone's workers last began.
     began: Vec<u64>,
-    /// What went to each hall through gates: when.
+    /// What went to each zone through gates: when.
     gated: Vec<Vec<u64>>,
     leavings: usize,
     wrong: Option<String>,
@@ -128,11 +128,11 @@
 
 impl<'a> Play<'a> {
     fn new(plan: &'a Schedule, rules: Rules) -> Play<'a> {
-        let halls: Vec<Arc<str>> = (0..plan.halls).map(|h| format!("hall-{h}").into()).collect();
-        let list = halls
+        let zones: Vec<Arc<str>> = (0..plan.zones).map(|h| format!("zone-{h}").into()).collect();
+        let list = zones
             .iter()
             .enumerate()
-            .flat_map(|(h, hall)| (0..WORKERS).map(move |w| (Arc::from(format!("s{h}-{w}")), hall.clone())));
+            .flat_map(|(h, zone)| (0..WORKERS).map(move |w| (Arc::from(format!("s{h}-{w}")), zone.clone())));
         let list: Vec<(Arc<str>, Arc<str>)> = list.collect();
         let mut play = Play {
             plan,
@@ -141,14 +141,14 @@
             members: Vec::new(),
             lives: vec![0; plan.members],
             names: (0..plan.members).map(|n| format!("n{n}").into()).collect(),
-            halls,
+            zones,
             list,
             ends: BinaryHeap::new(),
             words: BinaryHeap::new(),
             serial: 0,
             rules,
-            began: vec![0; plan.halls],
-            gated: vec![Vec::new(); plan.halls],
+            began: vec![0; plan.zones],
+            gated: vec![Vec::new(); plan.zones],
             leavings: 0,
             wrong: None,
         };
@@ -156,14 +156,14 @@
         play
     }
 
-    fn begin(&self) -> Halls {
-        let mut member = Halls::new(terms(), self.now).with_rules(self.rules);
+    fn begin(&self) -> Zones {
+        let mut member = Zones::new(terms(), self.now).with_rules(self.rules);
         member.listed(&self.list);
         member
     }
 
     fn home(&self, n: usize) -> usize {
-        n % self.plan.halls
+        n % self.plan.zones
     }
 
     /// Whether two members hear each other.
@@ -177,27 +177,27 @@
     }
 
     fn request(&mut self, n: usize) {
-        let hall = below(&mut self.rng, self.plan.halls as u64) as usize;
-        // Each has a hall of its choice for a request, and another where that is shut.
-        for hall in [hall, (hall + 1) % self.plan.halls, (hall + 2) % self.plan.halls] {
-            let name = self.halls[hall].clone();
+        let zone = below(&mut self.rng, self.plan.zones as u64) as usize;
+        // Each has a zone of its choice for a request, and another where that is shut.
+        for zone in [zone, (zone + 1) % self.plan.zones, (zone + 2) % self.plan.zones] {
+            let name = self.zones[zone].clone();
             let gate = self.members[n].gate(self.now, &name);
             if gate == Some(0) {
                 continue;
             }
             if gate.is_some() {
                 self.members[n].entered(&name, 1);
-                self.gated[hall].push(self.now);
+                self.gated[zone].push(self.now);
             }
             let worker = below(&mut self.rng, WORKERS as u64) as usize;
             let (now, home) = (self.now, self.home(n));
-            let dead = self.plan.is(now, |f| f == Fault::Dead(hall));
+            let dead = self.plan.is(now, |f| f == Fault::Dead(zone));
             let silent = self.plan.is(now, |f| match f {
-                Fault::Silent(h) => h == hall,
-                Fault::Cut(h, _) => (h == hall) != (h == home),
+                Fault::Silent(h) => h == zone,
+                Fault::Cut(h, _) => (h == zone) != (h == home),
                 _ => false,
             });
-            let slow = self.plan.is(now, |f| f == Fault::Slow(hall) || f == Fault::Store);
+            let slow = self.plan.is(now, |f| f == Fault::Slow(zone) || f == Fault::Store);
             let (took, how) = match (dead, silent, slow) {
                 (true, _, _) => (MS, 1),
                 (_, true, _) => (1_500 * MS, 2),
@@ -205,9 +205,9 @@
                 _ => (40 * MS + below(&mut self.rng, 20 * MS), 0),
             };
             self.serial += 1;
-            let worker_name = self.list[hall * WORKERS + worker].0.clone();
+            let worker_name = self.list[zone * WORKERS + worker].0.clone();
             self.members[n].sent(now, &worker_name);
-            let end = (now + took, self.serial, n, self.lives[n], hall, worker, how, now);
+            let end = (now + took, self.serial, n, self.lives[n], zone, worker, how, now);
             self.ends.push(Reverse(end));
             return;
         }
@@ -227,19 +227,19 @@
             }
         }
         while self.ends.peek().is_some_and(|e| e.0.0 <= self.now) {
-            let Some(Reverse((at, _, n, life, hall, worker, how, sent))) = self.ends.pop() else { break };
+            let Some(Reverse((at, _, n, life, zone, worker, how, sent))) = self.ends.pop() else { break };
             if life != self.lives[n] {
                 continue;
             }
             // What waits while a member stands still is read when it goes on.
             if self.still(n) {
-                let later = (self.now + STEP, self.serial, n, life, hall, worker, how, sent);
+                let later = (self.now + STEP, self.serial, n, life, zone, worker, how, sent);
                 self.ends.push(Reverse(later));
                 continue;
             }
-            let (worker, at) = (self.list[hall * WORKERS + worker].0.clone(), at.max(before));
+            let (worker, at) = (self.list[zone * WORKERS + worker].0.clone(), at.max(before));
             let end = match how {
-                0 => End::Answered(1, Some(if self.slow_at(hall, at) { 250 * MS } else { 50 * MS })),
+                0 => End::Answered(1, Some(if self.slow_at(zone, at) { 250 * MS } else { 50 * MS })),
                 1 => End::Refused,
                 _ => End::GivenUp,
             };
@@ -261,25 +261,25 @@
             }
             let others: Vec<usize> =
                 (0..self.plan.members).filter(|o| *o != n && self.hears(n, *o)).collect();
-            let of = |o: &usize| (self.names[*o].clone(), self.halls[self.home(*o)].clone());
+            let of = |o: &usize| (self.names[*o].clone(), self.zones[self.home(*o)].clone());
             let view = View {
                 own: self.names[n].clone(),
-                home: self.halls[self.home(n)].clone(),
+                home: self.zones[self.home(n)].clone(),
                 others: others.iter().map(of).collect(),
                 share: 1_000_000 / self.plan.members as u64,
             };
-            let stands = |m: &Halls, h: &str| m.place(h).map_or((0, TOP), |p| (p.epoch, p.step));
-            let places: Vec<(u64, u8)> = self.halls.iter().map(|h| stands(&self.members[n], h)).collect();
+            let stands = |m: &Zones, h: &str| m.place(h).map_or((0, TOP), |p| (p.epoch, p.step));
+            let places: Vec<(u64, u8)> = self.zones.iter().map(|h| stands(&self.members[n], h)).collect();
             let told = self.members[n].advance(self.now, &view);
             let lies = self.plan.is(self.now, |f| f == Fault::Lies(n));
             for (h, (epoch, before)) in places.into_iter().enumerate() {
-                let (later, step) = stands(&self.members[n], &self.halls[h]);
+                let (later, step) = stands(&self.members[n], &self.zones[h]);
                 self.leavings += usize::from(step < before && before == TOP && !lies);
                 if asked("SCHEDULE").is_some() && (later, step) != (epoch, before) {
-                    let opinion = self.members[n].opinion(&self.halls[h]);
-                    let reason = self.members[n].place(&self.halls[h]).map(|p| p.reason);
+                    let opinion = self.members[n].opinion(&self.zones[h]);
+                    let reason = self.members[n].place(&self.zones[h]).map(|p| p.reason);
                     println!(
-                        "{:>8} n{n} hall {h}: {before}@{epoch} to {step}@{later} {reason:?} {opinion:?}",
+                        "{:>8} n{n} zone {h}: {before}@{epoch} to {step}@{later} {reason:?} {opinion:?}",
                         self.now / MS
                     );
                 }
@@ -291,7 +291,7 @@
                 let liar = self.plan.faults.iter().any(|(_, _, f)| *f == Fault::Lies(n));
                 if before == 0 && step > 0 && !liar && self.unreached(n, h) {
                     self.wrong = Some(format!(
-                        "n{n} goes back to hall {h}, which nobody has reached, at {}",
+                        "n{n} goes back to zone {h}, which nobody has reached, at {}",
                         self.now
                     ));
                 }
@@ -299,7 +299,7 @@
             for (to, mut report) in told {
                 let to = self.names.iter().position(|name| *name == to).unwrap_or(0);
                 if lies {
-                    for word in &mut report.halls {
+                    for word in &mut report.zones {
                         (word.opinion, word.step, word.good) = (Opinion::Gone, (self.serial % 5) as u8, 9);
                         word.epoch = word.epoch.saturating_add(self.serial % 9);
                     }
@@ -317,39 +317,39 @@
         }
     }
 
-    /// Nobody of the member's group could have had an answer from the hall for two seconds.
-    fn unreached(&self, n: usize, hall: usize) -> bool {
-        let inside = self.home(n) == hall;
+    /// Nobody of the member's group could have had an answer from the zone for two seconds.
+    fn unreached(&self, n: usize, zone: usize) -> bool {
+        let inside = self.home(n) == zone;
         self.plan.faults.iter().any(|(from, to, f)| {
             let shut = match f {
-                Fault::Dead(h) | Fault::Silent(h) => *h == hall,
-                Fault::Cut(h, _) => *h == hall && !inside,
+                Fault::Dead(h) | Fault::Silent(h) => *h == zone,
+                Fault::Cut(h, _) => *h == zone && !inside,
                 _ => false,
             };
             shut && *from + 2 * S <= self.now && self.now < *to
         })
     }
 
-    fn slow_at(&self, hall: usize, at: u64) -> bool {
-        self.plan.is(at, |f| f == Fault::Slow(hall) || f == Fault::Store)
+    fn slow_at(&self, zone: usize, at: u64) -> bool {
+        self.plan.is(at, |f| f == Fault::Slow(zone) || f == Fault::Store)
     }
 
-    /// Members of a group that stand otherwise than most, for any hall.
+    /// Members of a group that stand otherwise than most, for any zone.
     fn apart(&self) -> Option<String> {
-        for (h, hall) in self.halls.iter().enumerate() {
+        for (h, zone) in self.zones.iter().enumerate() {
             for inside in [false, true] {
                 let group = (0..self.plan.members).filter(|n| (self.home(*n) == h) == inside);
                 let steps: Vec<u8> =
-                    group.filter_map(|n| self.members[n].place(hall).map(|p| p.step)).collect();
+                    group.filter_map(|n| self.members[n].place(zone).map(|p| p.step)).collect();
                 if steps.windows(2).any(|w| w[0] != w[1]) {
-                    return Some(format!("{hall} inside {inside}: steps {steps:?}"));
+                    return Some(format!("{zone} inside {inside}: steps {steps:?}"));
                 }
             }
         }
         None
     }
 
-    /// Plays it; what was wrong, and whether a hall was left.
+    /// Plays it; what was wrong, and whether a zone was left.
     fn play(mut self) -> Result<usize, String> {
         let end = self.plan.end();
         while self.now < end {
@@ -360,7 +360,7 @@
         while alike.is_none_or(|since| self.now < since + 2 * S) && self.wrong.is_none() {
             self.step();
             let full = self
-                .halls
+                .zones
                 .iter()
                 .all(|h| self.members.iter().all(|m| m.place(h).is_some_and(|p| p.step == TOP)));
             alike = if full && self.apart().is_none() { alike.or(Some(self.now)) } else { None };
@@ -394,15 +394,15 @@
         self.wrong.map_or(Ok(self.leavings), Err)
     }
 
-    /// What went through gates to a hall whose workers began anew: in each second, against what they bear.
+    /// What went through gates to a zone whose workers began anew: in each second, against what they bear.
     fn borne(&self) -> Result<(), String> {
         let terms = terms();
-        // What all together ask of a hall when nothing is held back.
+        // What all together ask of a zone when nothing is held back.
         let usual = (self.plan.members as f64 / if self.plan.members < 20 { 1.0 } else { 2.0 })
             * (S / STEP) as f64
-            / self.plan.halls as f64;
-        for (hall, sent) in self.gated.iter().enumerate() {
-            let began = self.began[hall];
+            / self.plan.zones as f64;
+        for (zone, sent) in self.gated.iter().enumerate() {
+            let began = self.began[zone];
             let after: Vec<u64> = sent.iter().copied().filter(|at| *at >= began && began > 0).collect();
             for from in &after {
                 let count = after.iter().filter(|at| (*from..*from + S).contains(at)).count() as f64;
@@ -411,7 +411,7 @@
                 // Twice of what they can do knocks them over; a burst of one a member comes on top.
                 let most = 2.0 * usual * present * 1.5 + self.plan.members as f64 + 20.0;
                 if count > most {
-                    return Err(format!("hall {hall} got {count} in a second, {most:.0} borne, at {from}"));
+                    return Err(format!("zone {zone} got {count} in a second, {most:.0} borne, at {from}"));
                 }
             }
         }
@@ -479,11 +479,11 @@
         return;
     }
     let (harmless, left) = many(asked("SCHEDULES").unwrap_or(3_000), 0, |n| 6 + (n % 7) as usize);
-    println!("{harmless} schedules without a fault of a hall, in {left} of them one was left");
+    println!("{harmless} schedules without a fault of a zone, in {left} of them one was left");
     assert!(left * 100 <= harmless, "{left} of {harmless}");
 }
 
-/// Minutes long: `cargo test --release -p ochreward-halls --test schedules -- --ignored`.
+/// Minutes long: `cargo test --release -p ochreward-zones --test schedules -- --ignored`.
 #[test]
 #[ignore = "minutes long"]
 fn a_hundred_and_three_hundred_stand_alike_as_well() {
--- a/src/cli/agent.rs
+++ b/src/cli/agent.rs
@@ -27,12 +27,12 @@
     if status == 200 { Ok(()) } else { Err(Error::Agent(status)) }
 }
 
-/// What a dispatcher knows of its peers, from its door, no where they do not agree; or of budgets and the level, or of halls.
+/// What a dispatcher knows of its peers, from its door, no where they do not agree; or of budgets and the level, or of zones.
 pub fn peers(door: SocketAddr, json: bool, what: &str) -> Result<(), Error> {
     let at = || format!("the door at {door}");
     let path = match what {
         "budgets" => "/_budgets",
-        "halls" => "/_halls",
+        "zones" => "/_zones",
         _ => "/_peers",
     };
     let (status, body) = ask(door, "GET", path).map_err(io_error(at()))?;
@@ -47,7 +47,7 @@
     } else {
         let lines = match what {
             "budgets" => crate::overload::lines(&report),
-            "halls" => crate::halls::lines(&report),
+            "zones" => crate::zones::lines(&report),
             _ => crate::peers::lines(&report),
         };
         lines.iter().for_each(say);
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -126,8 +126,8 @@
         after_help = "Ends with 0 where all that are alive see the same.\nExample: ochreward peers --door 127.0.0.1:8081"
     )]
     Peers {
-        /// What: all that is known; budgets, leases and the level of admission; or halls
-        #[arg(value_parser = ["all", "budgets", "halls"], default_value = "all")]
+        /// What: all that is known; budgets, leases and the level of admission; or zones
+        #[arg(value_parser = ["all", "budgets", "zones"], default_value = "all")]
         what: String,
         /// The dispatcher's door
         #[arg(long, value_name = "ADDRESS", default_value = "127.0.0.1:8081")]
@@ -254,7 +254,7 @@
         brokers,
         stream.as_ref(),
         operator.stations,
-        (operator.peers, operator.overload, operator.halls),
+        (operator.peers, operator.overload, operator.zones),
     )
     .map_err(io_error("can't start"))?;
     let address = node.address().map_or_else(String::new, |a| a.to_string());
@@ -297,7 +297,7 @@
             "stop n0 --log-format json",
             "peers --door 127.0.0.1:9 --json",
             "peers budgets --door 127.0.0.1:9",
-            "peers halls --door 127.0.0.1:9",
+            "peers zones --door 127.0.0.1:9",
             "control serve --store d --listen 127.0.0.1:1",
             "control publish f --wait",
             "control status --explain n0",
--- a/src/config/control.rs
+++ b/src/config/control.rs
@@ -12,7 +12,7 @@
 pub struct Stream {
     /// The services, tried in turn.
     pub services: Vec<SocketAddr>,
-    /// What the instance says of itself, such as `hall`: overlays and waves go by it.
+    /// What the instance says of itself, such as `zone`: overlays and waves go by it.
     pub labels: BTreeMap<String, String>,
     /// Where the last good version is kept, in a folder of the instance's name; else beside the bans, in `$TMPDIR`.
     pub folder: Option<PathBuf>,
--- a/src/config/features.rs
+++ b/src/config/features.rs
@@ -188,9 +188,9 @@
 
     #[test]
     fn two_deployments_differ_by_their_settings_alone() {
-        let halls = standing(include_str!("../../deploy/example.json"));
+        let zones = standing(include_str!("../../deploy/example.json"));
         let rooms = standing(include_str!("../../deploy/rooms.json"));
-        let differ: Vec<&str> = halls
+        let differ: Vec<&str> = zones
             .iter()
             .zip(&rooms)
             .filter(|(h, r)| h.0 == r.0 && h.1 != r.1)
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -4,7 +4,7 @@
 use crate::front::mqtt::Options;
 use crate::front::stations;
 use crate::keys::{Faults, Key};
-use crate::{halls, overload, peers};
+use crate::{overload, peers, zones};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -56,8 +56,8 @@
     pub peers: Option<peers::Options>,
     /// Budgets that the fleet shares, and its level of admission.
     pub overload: Option<overload::Options>,
-    /// Halls, left and returned to by the fleet as one.
-    pub halls: Option<halls::Options>,
+    /// Zones, left and returned to by the fleet as one.
+    pub zones: Option<zones::Options>,
 }
 
 impl Operator {
@@ -83,7 +83,7 @@
     }
 
     fn of(top: &Key) -> Operator {
-        top.only(&["mqtt", "agent", "control", "stations", "peers", "overload", "halls"]);
+        top.only(&["mqtt", "agent", "control", "stations", "peers", "overload", "zones"]);
         let peers = top.get("peers").optional(read_peers);
         // Danger: a part that grows while leases of before still run would be spent twice.
         let hold = peers.as_ref().map_or(u64::MAX, |p| p.settings.hold);
@@ -94,7 +94,7 @@
             stations: top.get("stations").optional(stations),
             peers,
             overload: top.get("overload").optional(|key| read_overload(key, hold)),
-            halls: top.get("halls").optional(read_halls),
+            zones: top.get("zones").optional(read_zones),
         }
     }
 
@@ -179,7 +179,7 @@
         "reach",
         "seeds",
         "group",
-        "hall",
+        "zone",
         "probe_ms",
         "probe_timeout_ms",
         "indirect",
@@ -194,13 +194,13 @@
     };
     let addresses =
         |name: &str| key.get(name).members().into_iter().map(|(name, at)| (name, at.address())).collect();
-    let (seeds, group, hall) = (key.get("seeds"), key.get("group"), key.get("hall"));
+    let (seeds, group, zone) = (key.get("seeds"), key.get("group"), key.get("zone"));
     let list: Vec<SocketAddr> = seeds.entries().iter().map(Key::address).collect();
     seeds.must(list.len() <= peers::MOST_SEEDS, "holds more than 64 addresses");
-    let (named, place) = (group.text_or(&usual.group), hall.text_or(""));
+    let (named, place) = (group.text_or(&usual.group), zone.text_or(""));
     let short = |text: &str| text.len() <= ochreward_membership::wire::MOST_TEXT;
     group.must(!named.is_empty(), "a name is wanted");
-    hall.must(short(&place), "is longer than 32 bytes");
+    zone.must(short(&place), "is longer than 32 bytes");
     let (probe_every, probe_timeout) = (
         ms("probe_ms", 20, 60_000, usual.probe_every),
         ms("probe_timeout_ms", 5, 30_000, usual.probe_timeout),
@@ -212,7 +212,7 @@
         at: addresses("at"),
         reach: addresses("reach"),
         seeds: list,
-        hall: place,
+        zone: place,
         settings: ochreward_membership::Settings {
             group: named,
             probe_every,
@@ -259,9 +259,9 @@
     }
 }
 
-fn read_halls(key: &Key) -> halls::Options {
+fn read_zones(key: &Key) -> zones::Options {
     key.only(&["silent_ms", "stay_ms", "dwell_ms"]);
-    halls::Options {
+    zones::Options {
         silent: key.get("silent_ms").between(50, 60_000, 1_000) * 1_000,
         stay: key.get("stay_ms").between(100, 600_000, 2_000) * 1_000,
         dwell: key.get("dwell_ms").between(50, 600_000, 500) * 1_000,
--- a/src/config/version.rs
+++ b/src/config/version.rs
@@ -1,6 +1,6 @@
 //! What a control service publishes: a file of layers, and the resources that an instance gets out of them.
 //!
-//! A layer is `fleet`, `hall.NAME` or `instance.NAME`. Each may hold the resource types `settings` and `limits` (laid
+//! A layer is `fleet`, `zone.NAME` or `instance.NAME`. Each may hold the resource types `settings` and `limits` (laid
 //! over the platform's file key by key), `bans` and `fronts`. The readers are those of the files themselves.
 
 use super::operator;
@@ -36,9 +36,9 @@
 }
 
 fn layers(top: &Key) {
-    top.only(&["fleet", "hall", "instance"]);
+    top.only(&["fleet", "zone", "instance"]);
     layer(&top.get("fleet"));
-    for group in ["hall", "instance"] {
+    for group in ["zone", "instance"] {
         top.get(group).members().iter().for_each(|(_, key)| layer(key));
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -16,7 +16,7 @@
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
-pub use budget::{Budget, HallGate, Tokens};
+pub use budget::{Budget, Tokens, ZoneGate};
 use evidence::Evidence;
 use hints::Size;
 pub use learned::Learned;
@@ -94,13 +94,13 @@
 const UNSEEN: f64 = 2.0;
 /// Warm workers are told apart only beyond this share of a run: one router of many sees little, and late.
 const VIEW_ERROR: f64 = 0.5;
-/// So many of the last attempts in a hall tell whether it is lost: what of them failed beyond this share.
-const HALL_LAST: f64 = 5.0;
-const HALL_DOUBT: f64 = 0.4;
+/// So many of the last attempts in a zone tell whether it is lost: what of them failed beyond this share.
+const ZONE_LAST: f64 = 5.0;
+const ZONE_DOUBT: f64 = 0.4;
 /// A router that had this many requests for each worker within the ration's window sees half enough of them.
 const SIGHT: f64 = 4.0;
-/// A crossing of halls weighs so many times its price: an answer that is a little later earns no less.
-const HALL: f64 = 10.0;
+/// A crossing of zones weighs so many times its price: an answer that is a little later earns no less.
+const ZONE: f64 = 10.0;
 /// Before any answer, the chance that others keep a function warm at its homes.
 const PRIOR_FOUND: f64 = 0.5;
 /// A tenant's quota may be saved up for this long: an uneven stream within it is not beyond it.
@@ -173,8 +173,8 @@
     requests: BTreeMap<RequestId, Request>,
     pools: Vec<Pool>,
     served: Evidence,
-    /// What attempts in each hall came to of late, whichever the worker: 1 is lost.
-    halls: BTreeMap<usize, Evidence>,
+    /// What attempts in each zone came to of late, whichever the worker: 1 is lost.
+    zones: BTreeMap<usize, Evidence>,
     list_version: u64,
     store: Evidence,
     /// How little this router sees of each worker, from 0 to 1: who sees enough needs no hints from others.
@@ -211,7 +211,7 @@
             requests: BTreeMap::new(),
             pools: Vec::new(),
             served: Evidence::default(),
-            halls: BTreeMap::new(),
+            zones: BTreeMap::new(),
             list_version: 0,
             store: Evidence::default(),
             thin: 1.0,
@@ -367,7 +367,7 @@
             if entry.ready_at.is_some() && entry.ready_at != worker.ready_at {
                 // A restarted process holds no copies and owes nothing for its past.
                 worker.ready_at = entry.ready_at;
-                self.halls.remove(&entry.zone);
+                self.zones.remove(&entry.zone);
                 worker.forget_copies();
                 worker.slow = Evidence::default();
                 worker.turn = 0;
@@ -623,13 +623,13 @@
         let total = self.set.tick as f64 + load + pending.max(lane_wait) + run;
         // A worker that has just turned a request away does so again: any other comes first.
         let turned_away = request.attempts.iter().any(|a| a.e.worker == worker && a.turned_away);
-        let crossing = if w.zone == self.set.my_zone { 0.0 } else { HALL * self.set.cross_zone_price };
-        // A hall that is lost shows in all its workers: a few tell of the rest.
-        let hall = self.halls.get(&w.zone).map_or(0.0, |h| h.mean(self.now, self.half, 0.0, 1.0));
-        let hall = self.thin * ((hall - HALL_DOUBT) / (1.0 - HALL_DOUBT)).max(0.0);
+        let crossing = if w.zone == self.set.my_zone { 0.0 } else { ZONE * self.set.cross_zone_price };
+        // A zone that is lost shows in all its workers: a few tell of the rest.
+        let zone = self.zones.get(&w.zone).map_or(0.0, |h| h.mean(self.now, self.half, 0.0, 1.0));
+        let zone = self.thin * ((zone - ZONE_DOUBT) / (1.0 - ZONE_DOUBT)).max(0.0);
         // Danger: fast failures make a worker look idle and would draw all traffic; a hang or a cut link are
         // silence. A loss costs the client's whole patience; no risk refuses.
-        let risk = w.lost[request.class].mean(self.now, self.half, hall, DOUBT) * class.deadline as f64
+        let risk = w.lost[request.class].mean(self.now, self.half, zone, DOUBT) * class.deadline as f64
             + crossing * class.aim as f64
             + if turned_away { class.deadline as f64 } else { 0.0 };
         // Only the usual time of a load is nobody's fault: what a slow store adds counts as a queue.
@@ -917,7 +917,7 @@
         let w = &mut self.workers[worker];
         if let Some(sample) = lost.filter(|_| found != Found::LoadFailed) {
             w.lost[class].learn(now, self.half, sample, LAST);
-            self.halls.entry(w.zone).or_default().learn(now, self.half, sample, HALL_LAST);
+            self.zones.entry(w.zone).or_default().learn(now, self.half, sample, ZONE_LAST);
             w.heard[class] = now;
             w.heard_any = if sample == 0.0 { now } else { w.heard_any };
         }
--- a/src/control/budget.rs
+++ b/src/control/budget.rs
@@ -30,9 +30,9 @@
     }
 }
 
-/// A hall to which less than the usual goes.
+/// A zone to which less than the usual goes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct HallGate {
+pub struct ZoneGate {
     /// Requests that may go there now.
     pub left: u64,
     /// Those that did.
@@ -46,8 +46,8 @@
 pub struct Budget {
     /// Workers that the fleet takes back with care: how many requests each may get now, and how many it got.
     pub gates: BTreeMap<WorkerId, (u64, u64)>,
-    /// Halls to which less than the usual goes, by place.
-    pub halls: BTreeMap<usize, HallGate>,
+    /// Zones to which less than the usual goes, by place.
+    pub zones: BTreeMap<usize, ZoneGate>,
     /// Second and later tries at workers; `None`: the fleet has no budget for them.
     pub resends: Option<Tokens>,
     /// Orders to load.
@@ -81,7 +81,7 @@
     /// Whether a worker may get a request now.
     pub(super) fn open(&self, worker: &Worker) -> bool {
         self.gates.get(&worker.id).is_none_or(|(left, _)| *left > 0)
-            && self.halls.get(&worker.zone).is_none_or(|gate| gate.left > 0)
+            && self.zones.get(&worker.zone).is_none_or(|gate| gate.left > 0)
     }
 
     /// It gets one.
@@ -89,7 +89,7 @@
         if let Some((left, got)) = self.gates.get_mut(&worker.id) {
             (*left, *got) = (left.saturating_sub(1), *got + 1);
         }
-        if let Some(gate) = self.halls.get_mut(&worker.zone) {
+        if let Some(gate) = self.zones.get_mut(&worker.zone) {
             (gate.left, gate.got) = (gate.left.saturating_sub(1), gate.got + 1);
         }
     }
@@ -110,10 +110,10 @@
 impl Router {
     /// What may be spent from now on; what was spent before.
     pub fn budget(&mut self, next: Budget) -> Budget {
-        for (zone, gate) in &next.halls {
-            // Danger: what failed before a hall was left would keep this router from it for long. The fleet lets it in again: it is tried.
-            if gate.left > 0 && self.budget.halls.get(zone).is_some_and(|last| last.left == 0) {
-                self.halls.remove(zone);
+        for (zone, gate) in &next.zones {
+            // Danger: what failed before a zone was left would keep this router from it for long. The fleet lets it in again: it is tried.
+            if gate.left > 0 && self.budget.zones.get(zone).is_some_and(|last| last.left == 0) {
+                self.zones.remove(zone);
                 for w in self.workers.iter_mut().filter(|w| w.zone == *zone) {
                     w.lost.fill(Default::default());
                     w.slow = Default::default();
@@ -123,11 +123,11 @@
         std::mem::replace(&mut self.budget, Budget { worth: 0, shed: 0, shed_up_to: 0, ..next })
     }
 
-    /// A first try that may be repeated and goes to a hall which the fleet tries, if it can be in time there: its smallest estimate.
+    /// A first try that may be repeated and goes to a zone which the fleet tries, if it can be in time there: its smallest estimate.
     pub(super) fn trial(&self, request: &Request) -> Option<Estimate> {
-        let wanted = |zone: &usize| self.budget.halls.get(zone).is_some_and(|g| g.wanted && g.left > 0);
+        let wanted = |zone: &usize| self.budget.zones.get(zone).is_some_and(|g| g.wanted && g.left > 0);
         let may = request.attempts.is_empty() && request.rules.effect == Effect::Idempotent;
-        if !may || !self.budget.halls.keys().any(wanted) {
+        if !may || !self.budget.zones.keys().any(wanted) {
             return None;
         }
         let known = (self.demand(&self.functions[request.function]), self.peers());
--- a/src/control/places.rs
+++ b/src/control/places.rs
@@ -32,8 +32,8 @@
     pub marks: usize,
     /// Attempts out, over all workers.
     pub open: usize,
-    /// Halls with evidence of late.
-    pub halls: usize,
+    /// Zones with evidence of late.
+    pub zones: usize,
     /// Requests taken and loads ordered within the ration's window.
     pub window: usize,
 }
@@ -47,7 +47,7 @@
             requests: self.requests.len(),
             marks: self.workers.iter().map(|w| w.marks.len()).sum(),
             open: self.workers.iter().map(|w| w.open.len()).sum(),
-            halls: self.halls.len(),
+            zones: self.zones.len(),
             window: self.taken.len() + self.ordered.len(),
         }
     }
--- a/src/door/mod.rs
+++ b/src/door/mod.rs
@@ -5,9 +5,9 @@
 
 use crate::api::WorkerId;
 use crate::counters::{Counters, count};
-use crate::halls;
 use crate::http::{self, Asked, Bad, Http, MOST_CALL};
 use crate::net::{Accepted, Closed, Link, Listener, Poll, Ready, Token};
+use crate::zones;
 use slab::Slab;
 use std::io;
 use std::net::SocketAddr;
@@ -39,10 +39,10 @@
     Peers,
     /// Budgets that the fleet shares, and the level of admission.
     Budgets,
-    /// Where the fleet stands to each hall.
-    Halls,
-    /// A word on a hall, for so long; none takes it back.
-    Hall(String, Option<(halls::Order, u64)>),
+    /// Where the fleet stands to each zone.
+    Zones,
+    /// A word on a zone, for so long; none takes it back.
+    Zone(String, Option<(zones::Order, u64)>),
 }
 
 struct Caller {
@@ -243,14 +243,14 @@
     let asks = match path {
         "/_peers" => Some(Order::Peers),
         "/_budgets" => Some(Order::Budgets),
-        "/_halls" => Some(Order::Halls),
+        "/_zones" => Some(Order::Zones),
         _ => None,
     };
     if let Some(order) = asks {
         return if method == "GET" { Ok(order) } else { Err((405, "GET is wanted")) };
     }
-    if let Some(words) = path.strip_prefix("/_halls/") {
-        let order = hall(words).ok_or((400, "/_halls/leave|stay|follow/HALL/SECONDS is wanted"))?;
+    if let Some(words) = path.strip_prefix("/_zones/") {
+        let order = zone(words).ok_or((400, "/_zones/leave|stay|follow/ZONE/SECONDS is wanted"))?;
         return if method == "PUT" { Ok(order) } else { Err((405, "PUT is wanted")) };
     }
     let (verb, id) = path.strip_prefix("/_executors/").and_then(|p| p.split_once('/')).ok_or(UNKNOWN)?;
@@ -262,18 +262,18 @@
     if method == "PUT" { Ok(order) } else { Err((405, "PUT is wanted")) }
 }
 
-/// A word on a hall: `leave/HALL/SECONDS`, `stay/HALL/SECONDS`, or `follow/HALL`, which takes such a word back.
-fn hall(words: &str) -> Option<Order> {
+/// A word on a zone: `leave/ZONE/SECONDS`, `stay/ZONE/SECONDS`, or `follow/ZONE`, which takes such a word back.
+fn zone(words: &str) -> Option<Order> {
     let parts: Vec<&str> = words.split('/').collect();
     let seconds =
         |text: &str| text.parse::<u64>().ok().filter(|s| *s > 0).map(|s| s.saturating_mul(1_000_000));
     let (name, order) = match parts.as_slice() {
-        ["leave", hall, time] => (hall, Some((halls::Order::Leave, seconds(time)?))),
-        ["stay", hall, time] => (hall, Some((halls::Order::Stay, seconds(time)?))),
-        ["follow", hall] => (hall, None),
+        ["leave", zone, time] => (zone, Some((zones::Order::Leave, seconds(time)?))),
+        ["stay", zone, time] => (zone, Some((zones::Order::Stay, seconds(time)?))),
+        ["follow", zone] => (zone, None),
         _ => return None,
     };
-    Some(Order::Hall(http::unescape(name).filter(|n| !n.is_empty())?, order))
+    Some(Order::Zone(http::unescape(name).filter(|n| !n.is_empty())?, order))
 }
 
 #[cfg(test)]
@@ -285,16 +285,16 @@
         let of = |method: &str, path: &str| order(&Asked { method: method.into(), path: path.into() });
         assert_eq!(of("GET", "/_ready"), Ok(Order::Ready));
         assert_eq!(of("GET", "/_peers"), Ok(Order::Peers));
-        let leave = Order::Hall("hall-b".into(), Some((halls::Order::Leave, 90_000_000)));
-        assert_eq!(of("PUT", "/_halls/leave/hall-b/90"), Ok(leave));
-        assert_eq!(of("PUT", "/_halls/follow/hall-b"), Ok(Order::Hall("hall-b".into(), None)));
+        let leave = Order::Zone("zone-b".into(), Some((zones::Order::Leave, 90_000_000)));
+        assert_eq!(of("PUT", "/_zones/leave/zone-b/90"), Ok(leave));
+        assert_eq!(of("PUT", "/_zones/follow/zone-b"), Ok(Order::Zone("zone-b".into(), None)));
         assert_eq!(of("PUT", "/_executors/detach/s-1"), Ok(Order::Detach("s-1".into())));
         assert_eq!(of("PUT", "/_executors/attach/s%2D1"), Ok(Order::Attach("s-1".into())));
         let no = [
-            ("PUT", "/_halls", 405),
-            ("GET", "/_halls/leave/a/9", 405),
-            ("PUT", "/_halls/leave/a/0", 400),
-            ("PUT", "/_halls/leave/a", 400),
+            ("PUT", "/_zones", 405),
+            ("GET", "/_zones/leave/a/9", 405),
+            ("PUT", "/_zones/leave/a/0", 400),
+            ("PUT", "/_zones/leave/a", 400),
             ("PUT", "/_ready", 405),
             ("GET", "/_executors/detach/s", 405),
             ("PUT", "/_executors/detach/", 400),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -82,7 +82,6 @@
 pub mod door;
 pub mod executor;
 pub mod front;
-pub mod halls;
 pub mod handover;
 pub mod http;
 pub mod keys;
@@ -92,6 +91,7 @@
 pub mod overload;
 pub mod peers;
 pub mod versions;
+pub mod zones;
 
 pub use api::*;
 pub use control::Router;
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,13 +9,13 @@
 use crate::door::Door;
 use crate::executor::{Pool, Report};
 use crate::front::{Intake, Invalid, mqtt, stations, thrift};
-use crate::halls::{self as hall, Halls};
 use crate::handover::Handover;
 use crate::names::{Executor, Resolver};
 use crate::net::{Clock, Listener, Poll, Ready, Signals, Wish};
 use crate::overload::{self as load, Overload};
 use crate::peers::{self, Peers};
 use crate::versions::Stream;
+use crate::zones::{self as zone, Zones};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::io;
@@ -23,7 +23,6 @@
 use tracing::info;
 
 mod beside;
-mod halls;
 mod jobs;
 mod limits;
 mod listing;
@@ -33,6 +32,7 @@
 mod reload;
 mod shutdown;
 mod versions;
+mod zones;
 
 use jobs::job;
 use limits::limits;
@@ -83,7 +83,7 @@
     company: Option<peers::Options>,
     peers: Option<Peers>,
     overload: Option<Overload>,
-    halls: Option<Halls>,
+    zones: Option<Zones>,
     door: Option<Door>,
     bans: Bans,
     bans_at: u64,
@@ -114,7 +114,7 @@
         brokers: Vec<mqtt::Options>,
         told: Option<&crate::config::Stream>,
         listen: Option<stations::Options>,
-        (company, budgets, halls): (Option<peers::Options>, Option<load::Options>, Option<hall::Options>),
+        (company, budgets, zones): (Option<peers::Options>, Option<load::Options>, Option<zone::Options>),
     ) -> io::Result<Node> {
         let clock = Clock::start();
         let now = clock.read();
@@ -166,7 +166,7 @@
             company,
             peers: None,
             overload: budgets.map(|o| Overload::new(o, now << 12 | config.seed & 0xfff, now)),
-            halls: None,
+            zones: None,
             door,
             bans,
             bans_at: now,
@@ -184,9 +184,9 @@
             counters,
             config,
         };
-        if let Some(options) = halls {
-            let home = node.company.as_ref().map_or(String::new(), |c| c.hall.clone());
-            node.halls = Some(Halls::new(&options, &node.settings.module, &home, now));
+        if let Some(options) = zones {
+            let home = node.company.as_ref().map_or(String::new(), |c| c.zone.clone());
+            node.zones = Some(Zones::new(&options, &node.settings.module, &home, now));
             node.engine.trace();
         }
         node.spare();
@@ -251,7 +251,7 @@
             self.peers_advance();
             self.notes();
             self.overload_advance();
-            self.halls_advance();
+            self.zones_advance();
             self.budget_advance();
             self.mqtt.advance(&mut self.poll, self.now);
             self.stream_advance();
@@ -275,7 +275,7 @@
             self.mqtt.due(),
             self.stream.as_ref().map_or(u64::MAX, Stream::due),
             self.stations.as_ref().map_or(u64::MAX, stations::Front::due),
-            self.peers_due().min(self.overload_due()).min(self.halls_due()),
+            self.peers_due().min(self.overload_due()).min(self.zones_due()),
         ]);
         own.min().unwrap_or(u64::MAX).min(self.thrift.due()).min(self.resolver.due())
     }
--- a/src/node/listing.rs
+++ b/src/node/listing.rs
@@ -35,8 +35,8 @@
         if let Some(overload) = &mut self.overload {
             overload.listed(executors.iter().map(|e| e.id.clone()).collect());
         }
-        if let Some(halls) = &mut self.halls {
-            halls.listed(&executors, &self.settings.vocabulary.zones);
+        if let Some(zones) = &mut self.zones {
+            zones.listed(&executors, &self.settings.vocabulary.zones);
         }
         self.engine.list(self.now, entries);
     }
--- a/src/node/operators.rs
+++ b/src/node/operators.rs
@@ -30,7 +30,7 @@
         // What the old process has seen listed is not known yet.
         let waits = self.handover.waits();
         let (later, orders) = std::mem::take(&mut door.orders).into_iter().partition(|(_, o)| {
-            waits && !matches!(o, Order::Ready | Order::Peers | Order::Budgets | Order::Halls)
+            waits && !matches!(o, Order::Ready | Order::Peers | Order::Budgets | Order::Zones)
         });
         door.orders = later;
         let orders: Vec<(Token, Order)> = orders;
@@ -48,11 +48,11 @@
                     Some(overload) => (200, crate::overload::report(overload, self.now).to_string()),
                     None => (404, "no [overload] in this dispatcher's operator's file".to_string()),
                 },
-                Order::Halls => match &mut self.halls {
-                    Some(halls) => (200, crate::halls::report(halls, self.now).to_string()),
-                    None => (404, crate::halls::HallError::Off.to_string()),
+                Order::Zones => match &mut self.zones {
+                    Some(zones) => (200, crate::zones::report(zones, self.now).to_string()),
+                    None => (404, crate::zones::ZoneError::Off.to_string()),
                 },
-                Order::Hall(hall, order) => self.hall_said(&hall, order),
+                Order::Zone(zone, order) => self.zone_said(&zone, order),
                 Order::Detach(id) => self.detach(&id),
                 Order::Attach(id) => self.attach(&id),
             };
--- a/src/node/overload.rs
+++ b/src/node/overload.rs
@@ -2,8 +2,8 @@
 
 use super::Node;
 use crate::control::Budget;
-use crate::halls;
 use crate::overload::{self, Overload, View};
+use crate::zones;
 
 impl Node {
     /// Hands out what other dispatchers said, by channel.
@@ -17,21 +17,21 @@
                         peers.tell_one(self.now, &from, overload::CHANNEL, answer);
                     }
                 }
-                halls::CHANNEL => self.halls.iter_mut().for_each(|h| h.heard(self.now, &from, &bytes)),
+                zones::CHANNEL => self.zones.iter_mut().for_each(|h| h.heard(self.now, &from, &bytes)),
                 _ => {}
             }
         }
     }
 
-    /// Tells the module what it may spend, and what may go to each hall.
+    /// Tells the module what it may spend, and what may go to each zone.
     pub(super) fn budget_advance(&mut self) {
-        if self.overload.is_none() && self.halls.is_none() {
+        if self.overload.is_none() && self.zones.is_none() {
             return;
         }
         let last = self.engine.budget(Budget::default());
         let mut next = self.overload.as_mut().map(|o| o.budget(self.now, &last)).unwrap_or_default();
-        if let Some(halls) = &mut self.halls {
-            next.halls = halls.gates(self.now, &last.halls);
+        if let Some(zones) = &mut self.zones {
+            next.zones = zones.gates(self.now, &last.zones);
         }
         self.engine.budget(next);
         self.overload_count();
--- a/src/node/halls.rs
+++ b/src/node/zones.rs
@@ -1,44 +1,44 @@
-//! Halls: what the machine is told of attempts and of others, and what the module is told of it.
+//! Zones: what the machine is told of attempts and of others, and what the module is told of it.
 
 use super::Node;
-use crate::halls::{self, HallError, Order, View};
+use crate::zones::{self, Order, View, ZoneError};
 
 impl Node {
     /// Takes what became of attempts, does what is due.
-    pub(super) fn halls_advance(&mut self) {
-        let Some(halls) = &mut self.halls else { return };
+    pub(super) fn zones_advance(&mut self) {
+        let Some(zones) = &mut self.zones else { return };
         for trace in self.engine.traces.drain(..) {
-            halls.seen(self.now, trace);
+            zones.seen(self.now, trace);
         }
-        if halls.due() <= self.now {
+        if zones.due() <= self.now {
             let share = |parts: usize| 1_000_000 / parts.max(1) as u64;
             let own = self.config.name.as_str().into();
             let expected = self.settings.module.balancers;
             let view = match &self.peers {
                 Some(peers) => View {
                     own,
-                    others: peers.up_with_halls(),
+                    others: peers.up_with_zones(),
                     share: share(peers.division().map_or(expected, |d| d.parts)),
                     ..View::default()
                 },
                 None => View { own, share: share(expected), ..View::default() },
             };
-            for (to, word) in halls.advance(self.now, view) {
+            for (to, word) in zones.advance(self.now, view) {
                 if let Some(peers) = &mut self.peers {
-                    peers.tell_one(self.now, &to, halls::CHANNEL, word);
+                    peers.tell_one(self.now, &to, zones::CHANNEL, word);
                 }
             }
         }
-        let (left, moves) = halls.counts();
-        self.counters.halls_left.set(left);
-        self.counters.halls_moves.set(moves);
+        let (left, moves) = zones.counts();
+        self.counters.zones_left.set(left);
+        self.counters.zones_moves.set(moves);
     }
 
-    /// An operator's word on a hall.
-    pub(super) fn hall_said(&mut self, hall: &str, order: Option<(Order, u64)>) -> (u16, String) {
-        let said = match &mut self.halls {
-            Some(halls) => halls.say(self.now, hall, order),
-            None => Err(HallError::Off),
+    /// An operator's word on a zone.
+    pub(super) fn zone_said(&mut self, zone: &str, order: Option<(Order, u64)>) -> (u16, String) {
+        let said = match &mut self.zones {
+            Some(zones) => zones.say(self.now, zone, order),
+            None => Err(ZoneError::Off),
         };
         match said {
             Ok(()) => (200, "done".to_string()),
@@ -47,7 +47,7 @@
     }
 
     /// When the above next has something to do.
-    pub(super) fn halls_due(&self) -> u64 {
-        self.halls.as_ref().map_or(u64::MAX, halls::Halls::due)
+    pub(super) fn zones_due(&self) -> u64 {
+        self.zones.as_ref().map_or(u64::MAX, zones::Zones::due)
     }
 }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -114,7 +114,7 @@
         let token = poll.token(owner, 0);
         poll.add(&fd, token, Interest { read: true, write: false })?;
         let record = Record {
-            hall: options.hall.as_str().into(),
+            zone: options.zone.as_str().into(),
             program: env!("CARGO_PKG_VERSION").into(),
             configuration: start.configuration,
             serving: Serving::Serves,
@@ -229,15 +229,15 @@
         self.machine.members().filter(|m| m.is_up() && m.heard.is_some()).map(|m| m.name.clone()).collect()
     }
 
-    /// The others that are up and have been heard, with their halls.
-    pub fn up_with_halls(&self) -> Vec<(Arc<str>, Arc<str>)> {
+    /// The others that are up and have been heard, with their zones.
+    pub fn up_with_zones(&self) -> Vec<(Arc<str>, Arc<str>)> {
         let up = self.machine.members().filter(|m| m.is_up() && m.heard.is_some());
-        up.map(|m| (m.name.clone(), m.record.hall.clone())).collect()
+        up.map(|m| (m.name.clone(), m.record.zone.clone())).collect()
     }
 
-    /// The hall that this one says it stands in.
+    /// The zone that this one says it stands in.
     pub fn home(&self) -> Arc<str> {
-        self.record.hall.clone()
+        self.record.zone.clone()
     }
 
     /// Tells so many others, drawn anew each time.
--- a/src/peers/options.rs
+++ b/src/peers/options.rs
@@ -18,8 +18,8 @@
     pub reach: BTreeMap<String, SocketAddr>,
     /// Addresses at which some member is usually found.
     pub seeds: Vec<SocketAddr>,
-    /// The hall of this dispatcher.
-    pub hall: String,
+    /// The zone of this dispatcher.
+    pub zone: String,
     /// Times and bounds.
     pub settings: Settings,
 }
--- a/src/peers/report.rs
+++ b/src/peers/report.rs
@@ -17,7 +17,7 @@
             json!({
                 "name": &*m.name, "address": m.address.to_string(), "state": word(&m.state), "known": word(&m.source),
                 "since_ms": ago(Some(m.since)), "heard_ms": ago(m.heard), "answered_ms": ago(m.answered),
-                "incarnation": m.incarnation, "hall": &*m.record.hall, "program": &*m.record.program,
+                "incarnation": m.incarnation, "zone": &*m.record.zone, "program": &*m.record.program,
                 "configuration": m.record.configuration, "serving": word(&m.record.serving), "load": m.load,
                 "same_view": m.digest == agreement.digest,
             })
--- a/src/halls/mod.rs
+++ b/src/zones/mod.rs
@@ -1,20 +1,20 @@
-//! Halls as one fleet: when the machine of `crates/halls` is told and asked, and what an operator reads of it.
+//! Zones as one fleet: when the machine of `crates/zones` is told and asked, and what an operator reads of it.
 //!
-//! No I/O, the clock passed in: reports go out and come in by the host as notes between members. Off without `[halls]`; then no
+//! No I/O, the clock passed in: reports go out and come in by the host as notes between members. Off without `[zones]`; then no
 //! decision changes. Without peers a dispatcher goes by its own evidence.
 
 mod options;
 mod report;
 
-pub use ochreward_halls::{Order, View};
+pub use ochreward_zones::{Order, View};
 pub use options::Options;
 pub use report::{lines, report};
 
 use crate::api::{Micros, Outcome, Settings, WorkerId};
-use crate::control::HallGate;
+use crate::control::ZoneGate;
 use crate::core::Trace;
 use crate::names::Executor;
-use ochreward_halls::{End, Report, TOP};
+use ochreward_zones::{End, Report, TOP};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -25,35 +25,35 @@
 
 /// A word at the door that can't be obeyed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum HallError {
-    /// No executor stands in such a hall.
-    #[error("no executor is listed in hall '{0}': `GET /_halls` names those that are")]
+pub enum ZoneError {
+    /// No executor stands in such a zone.
+    #[error("no executor is listed in zone '{0}': `GET /_zones` names those that are")]
     Unknown(String),
     /// The feature is off.
-    #[error("halls are off: put [halls] into this dispatcher's operator's file and start it again")]
+    #[error("zones are off: put [zones] into this dispatcher's operator's file and start it again")]
     Off,
 }
 
-/// The halls as one dispatcher knows them.
-pub struct Halls {
-    machine: ochreward_halls::Halls,
-    /// Places of halls in the settings, by name.
-    zones: BTreeMap<Arc<str>, usize>,
+/// The zones as one dispatcher knows them.
+pub struct Zones {
+    machine: ochreward_zones::Zones,
+    /// Places of zones in the settings, by name.
+    places: BTreeMap<Arc<str>, usize>,
     home: Arc<str>,
     moves: u64,
 }
 
-impl Halls {
-    /// One that begins now; `home` is the hall that it stands in.
-    pub fn new(options: &Options, settings: &Settings, home: &str, now: Micros) -> Halls {
-        let machine = ochreward_halls::Halls::new(options.terms(settings), now);
-        Halls { machine, zones: BTreeMap::new(), home: home.into(), moves: 0 }
+impl Zones {
+    /// One that begins now; `home` is the zone that it stands in.
+    pub fn new(options: &Options, settings: &Settings, home: &str, now: Micros) -> Zones {
+        let machine = ochreward_zones::Zones::new(options.terms(settings), now);
+        Zones { machine, places: BTreeMap::new(), home: home.into(), moves: 0 }
     }
 
-    /// The list of executors, and the settings' names of halls.
-    pub fn listed(&mut self, executors: &[Executor], zones: &[String]) {
-        let place = |e: &Executor| zones.iter().position(|z| *z == e.zone).unwrap_or(zones.len());
-        self.zones = executors.iter().map(|e| (Arc::from(e.zone.as_str()), place(e))).collect();
+    /// The list of executors, and the settings' names of zones.
+    pub fn listed(&mut self, executors: &[Executor], names: &[String]) {
+        let place = |e: &Executor| names.iter().position(|n| *n == e.zone).unwrap_or(names.len());
+        self.places = executors.iter().map(|e| (Arc::from(e.zone.as_str()), place(e))).collect();
         let list: Vec<(WorkerId, Arc<str>)> =
             executors.iter().map(|e| (e.id.clone(), e.zone.as_str().into())).collect();
         self.machine.listed(&list);
@@ -85,8 +85,8 @@
         if now < self.machine.due() {
             return Vec::new();
         }
-        let steps = |h: &Halls| -> Vec<u8> {
-            h.machine.names().filter_map(|(hall, _)| h.machine.place(hall)).map(|p| p.step).collect()
+        let steps = |h: &Zones| -> Vec<u8> {
+            h.machine.names().filter_map(|(zone, _)| h.machine.place(zone)).map(|p| p.step).collect()
         };
         let before = steps(self);
         let words = self.machine.advance(now, &View { home: self.home.clone(), ..view });
@@ -99,32 +99,32 @@
         self.machine.due()
     }
 
-    /// Requests that may go to each hall now, by its place in the settings, where something is held back; `last` is what the module
+    /// Requests that may go to each zone now, by its place in the settings, where something is held back; `last` is what the module
     /// sent through the gates that it was given before.
-    pub fn gates(&mut self, now: Micros, last: &BTreeMap<usize, HallGate>) -> BTreeMap<usize, HallGate> {
+    pub fn gates(&mut self, now: Micros, last: &BTreeMap<usize, ZoneGate>) -> BTreeMap<usize, ZoneGate> {
         let mut gates = BTreeMap::new();
-        for (hall, zone) in &self.zones {
-            if let Some(gate) = last.get(zone).filter(|g| g.got > 0) {
-                self.machine.entered(hall, gate.got);
+        for (zone, place) in &self.places {
+            if let Some(gate) = last.get(place).filter(|g| g.got > 0) {
+                self.machine.entered(zone, gate.got);
             }
-            if let Some(left) = self.machine.gate(now, hall) {
-                gates.insert(*zone, HallGate { left, got: 0, wanted: self.machine.wants(hall) });
+            if let Some(left) = self.machine.gate(now, zone) {
+                gates.insert(*place, ZoneGate { left, got: 0, wanted: self.machine.wants(zone) });
             }
         }
         gates
     }
 
     /// An operator's word for so long; none ends the one before.
-    pub fn say(&mut self, now: Micros, hall: &str, order: Option<(Order, Micros)>) -> Result<(), HallError> {
+    pub fn say(&mut self, now: Micros, zone: &str, order: Option<(Order, Micros)>) -> Result<(), ZoneError> {
         let until = order.map(|(order, time)| (order, now + time.min(MOST_ORDER)));
-        let known = self.machine.say(hall, until);
-        known.then_some(()).ok_or_else(|| HallError::Unknown(hall.to_string()))
+        let known = self.machine.say(zone, until);
+        known.then_some(()).ok_or_else(|| ZoneError::Unknown(zone.to_string()))
     }
 
-    /// Halls of which less than the usual is used, and changes of step that were seen.
+    /// Zones of which less than the usual is used, and changes of step that were seen.
     pub fn counts(&self) -> (u64, u64) {
         let held =
-            |(hall, held): (&Arc<str>, bool)| held || self.machine.place(hall).is_some_and(|p| p.step < TOP);
+            |(zone, held): (&Arc<str>, bool)| held || self.machine.place(zone).is_some_and(|p| p.step < TOP);
         (self.machine.names().filter(|n| held(*n)).count() as u64, self.moves)
     }
 }
@@ -136,14 +136,14 @@
 
     const MS: Micros = 1_000;
 
-    fn halls() -> Halls {
+    fn zones() -> Zones {
         let options = Options { silent: 300 * MS, stay: 500 * MS, dwell: 200 * MS };
         let settings = crate::config::Config::read(include_str!("../../deploy/example.json"))
             .expect("the shipped example")
             .parts
             .settings
             .module;
-        let mut halls = Halls::new(&options, &settings, "a", 0);
+        let mut zones = Zones::new(&options, &settings, "a", 0);
         let executor = |zone: &str, n: usize| Executor {
             id: format!("{zone}{n}").into(),
             address: ([127, 0, 0, 1], 9).into(),
@@ -155,36 +155,36 @@
         };
         let list: Vec<Executor> =
             ["a", "b"].iter().flat_map(|z| (0..2).map(move |n| executor(z, n))).collect();
-        halls.listed(&list, &["b".into(), "a".into()]);
-        halls
+        zones.listed(&list, &["b".into(), "a".into()]);
+        zones
     }
 
-    fn attempt(halls: &mut Halls, now: Micros, worker: &str, outcome: Outcome) {
+    fn attempt(zones: &mut Zones, now: Micros, worker: &str, outcome: Outcome) {
         let trace = |end| Trace { worker: worker.into(), sent: now, end };
-        halls.seen(now, trace(None));
-        halls.seen(now, trace(Some((outcome, 1, Some(50 * MS)))));
+        zones.seen(now, trace(None));
+        zones.seen(now, trace(Some((outcome, 1, Some(50 * MS)))));
     }
 
     #[test]
-    fn alone_it_leaves_a_hall_whose_executors_are_gone_and_the_gate_is_that_of_its_place() {
-        let mut h = halls();
+    fn alone_it_leaves_a_zone_whose_executors_are_gone_and_the_gate_is_that_of_its_place() {
+        let mut h = zones();
         ["a0", "a1", "b0", "b1"].iter().for_each(|w| attempt(&mut h, 10 * MS, w, Outcome::Ok));
         h.advance(50 * MS, View::default());
         assert!(h.gates(50 * MS, &BTreeMap::new()).is_empty());
         ["b0", "b1"].iter().for_each(|w| attempt(&mut h, 60 * MS, w, Outcome::Reset));
         ["a0", "a1"].iter().for_each(|w| attempt(&mut h, 70 * MS, w, Outcome::Ok));
         h.advance(100 * MS, View::default());
-        let shut = |wanted| HallGate { left: 0, got: 0, wanted };
+        let shut = |wanted| ZoneGate { left: 0, got: 0, wanted };
         assert_eq!(h.gates(100 * MS, &BTreeMap::new()), [(0, shut(true))].into());
         assert_eq!(h.counts(), (1, 1));
     }
 
     #[test]
     fn an_operators_word_goes_before_evidence_until_it_is_over() {
-        let mut h = halls();
-        assert_eq!(h.say(0, "c", Some((Order::Leave, MS))), Err(HallError::Unknown("c".into())));
+        let mut h = zones();
+        assert_eq!(h.say(0, "c", Some((Order::Leave, MS))), Err(ZoneError::Unknown("c".into())));
         assert_eq!(h.say(0, "a", Some((Order::Leave, 500 * MS))), Ok(()));
-        let shut = HallGate { left: 0, got: 0, wanted: false };
+        let shut = ZoneGate { left: 0, got: 0, wanted: false };
         assert_eq!(h.gates(100 * MS, &BTreeMap::new()), [(1, shut)].into());
         assert!(h.gates(600 * MS, &BTreeMap::new()).is_empty(), "it is over");
         assert_eq!(h.say(700 * MS, "a", Some((Order::Leave, MOST_ORDER * 9))), Ok(()));
@@ -194,7 +194,7 @@
 
     #[test]
     fn bytes_that_are_no_report_change_nothing() {
-        let mut h = halls();
+        let mut h = zones();
         h.heard(0, &"x".into(), &[255; 50]);
         h.heard(0, &"x".into(), &[]);
         assert_eq!(h.counts(), (0, 0));
--- a/src/halls/options.rs
+++ b/src/zones/options.rs
@@ -1,17 +1,17 @@
-//! What the operator says of halls: `[halls]` of an operator's file.
+//! What the operator says of zones: `[zones]` of an operator's file.
 
 use crate::api::{Micros, Settings};
-use ochreward_halls::Terms;
+use ochreward_zones::Terms;
 
 /// The share of what a cold worker may be sent at the most that is used, in thousandths: messages and clocks are late.
 const USED: f64 = 600.0;
 
-/// Figures of `[halls]`, which must be alike at all dispatchers of a fleet.
+/// Figures of `[zones]`, which must be alike at all dispatchers of a fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Options {
     /// A worker that was sent something and says nothing for so long is silent.
     pub silent: Micros,
-    /// A hall that was left is left alone for so long at first.
+    /// A zone that was left is left alone for so long at first.
     pub stay: Micros,
     /// The time between two steps of the way back at the least.
     pub dwell: Micros,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -383,15 +383,15 @@
 }
 
 #[test]
-fn a_crossing_of_halls_weighs_in_the_choice_but_refuses_nothing() {
+fn a_crossing_of_zones_weighs_in_the_choice_but_refuses_nothing() {
     let mut bed = Bed::new(Settings { cross_zone_price: 0.04, ..settings() }, 1, 1);
-    // The only worker stands in the other hall; its estimate is inside the time left, its price is not.
+    // The only worker stands in the other zone; its estimate is inside the time left, its price is not.
     bed.list(true, vec![Listing { zone: 1, ..healthy(0, None) }]);
     bed.warm(0, "f");
     bed.serve(0, "f", 30);
     bed.ask(0, "f", 250 * MS);
     assert!(bed.sent().is_some(), "{:?}", bed.out);
-    // Where copies stand in both, one in the own hall is chosen though it is no faster.
+    // Where copies stand in both, one in the own zone is chosen though it is no faster.
     let mut bed = Bed::new(Settings { cross_zone_price: 0.04, ..settings() }, 1, 2);
     bed.list(true, vec![healthy(1, None)]);
     assert_eq!(bed.warm(0, "f"), name(1));
@@ -562,8 +562,8 @@
 }
 
 #[test]
-fn a_few_lost_attempts_in_a_hall_tell_of_its_other_workers() {
-    // Twenty workers in the router's own hall, which is lost, and twenty in the other.
+fn a_few_lost_attempts_in_a_zone_tell_of_its_other_workers() {
+    // Twenty workers in the router's own zone, which is lost, and twenty in the other.
     let set = Settings { balancers: 100, my_zone: 1, ..settings() };
     let mut bed = Bed::new(set, 1, 40);
     let mut failed = 0;
@@ -581,7 +581,7 @@
             bed.close(id, attempt, Outcome::ConnectFailed, Found::Untold, MS);
         }
     }
-    assert!(failed <= 10, "{failed} attempts went to a hall that is lost");
+    assert!(failed <= 10, "{failed} attempts went to a zone that is lost");
 }
 
 #[test]
@@ -854,7 +854,7 @@
             requests: most.requests.max(sizes.requests),
             marks: most.marks.max(sizes.marks),
             open: most.open.max(sizes.open),
-            halls: most.halls.max(sizes.halls),
+            zones: most.zones.max(sizes.zones),
             window: most.window.max(sizes.window),
         };
     }
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -5,8 +5,8 @@
 //! nothing unsafe ran twice, nobody panicked, and nobody sound was held failed by one that was sound. A failure prints its
 //! seed and the history; the seed decides what is lost, delayed and doubled.
 
-mod halls;
 mod overload;
+mod zones;
 
 use ochreward_membership::wire::{self, Body, Header};
 use ochreward_membership::{Claim, Record, State};
@@ -27,8 +27,8 @@
     place.lock().unwrap_or_else(|broken| broken.into_inner())
 }
 
-/// One fleet of three halls at a time: their workers and ways are many threads.
-fn hall_place() -> MutexGuard<'static, ()> {
+/// One fleet of three zones at a time: their workers and ways are many threads.
+fn zone_place() -> MutexGuard<'static, ()> {
     PLACES[0].lock().unwrap_or_else(|broken| broken.into_inner())
 }
 
--- a/tests/schema.rs
+++ b/tests/schema.rs
@@ -102,7 +102,7 @@
         include_str!("../deploy/stations.toml"),
         include_str!("../deploy/peers.toml"),
         include_str!("../deploy/overload.toml"),
-        include_str!("../deploy/halls.toml"),
+        include_str!("../deploy/zones.toml"),
         "",
     ] {
         agree(&schema, &toml(text), &read(text), true);
@@ -110,8 +110,8 @@
     let broken = [
         "[agent]\n",
         "[overload]\nresends = 1",
-        "[halls]\nstay = 1",
-        "[halls]\nsilent_ms = 0",
+        "[zones]\nstay = 1",
+        "[zones]\nsilent_ms = 0",
         "[overload]\nfloor_percent = 101",
         "[agnet]\nlisten = \"127.0.0.1:1\"",
         "[agent]\nlisten = \"127.0.0.1:1\"\ncheck_every_ms = 1",
@@ -119,7 +119,7 @@
         "[[mqtt]]\nbroker = \"127.0.0.1:1\"\nkeep_alive_s = 0",
         "[[agent.instance]]\nname = \"n\"",
         "[control.stream]\nservices = []",
-        "[control.stream]\nservices = [\"127.0.0.1:1\"]\nlabels = { hall = 3 }",
+        "[control.stream]\nservices = [\"127.0.0.1:1\"]\nlabels = { zone = 3 }",
         "[control.service]\nlisten = \"127.0.0.1:1\"",
         "[stations]\nlisten = \"127.0.0.1:1\"",
         "[stations]\nlisten = \"127.0.0.1:1\"\nusers = \"u\"\nreceive_maximum = 0",
@@ -137,7 +137,7 @@
     let good = [
         include_str!("../deploy/version.toml"),
         "[fleet.settings.limits]\nsend_cap = 2",
-        "[hall.b.bans]\nexecutors = [\"s1\"]",
+        "[zone.b.bans]\nexecutors = [\"s1\"]",
         "[[instance.n3.fronts.mqtt]]\nbroker = \"127.0.0.1:1883\"",
     ];
     for text in good {
@@ -147,7 +147,7 @@
         "[flet.settings]\n",
         "[fleet.settings.limits]\nsend_cap = 0",
         "[fleet.setings]\n",
-        "[[hall.b.settings.lanes]]\ndeadline_us = 0",
+        "[[zone.b.settings.lanes]]\ndeadline_us = 0",
         "[instance.n.bans]\nexecutors = \"s1\"",
         "[fleet.bans]\nexecutor = [\"s1\"]",
         "[[fleet.fronts.mqtt]]\nbroker = 7",
--- a/tests/sockets/deployments.rs
+++ b/tests/sockets/deployments.rs
@@ -12,12 +12,12 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Kind {
     /// Repeats of a key are dropped by all workers; answers tell no load.
-    Halls,
+    Zones,
     /// Repeats of a key are dropped within one zone only; no attempts side by side; answers tell loads.
     Rooms,
 }
 
-const BOTH: [Kind; 2] = [Kind::Halls, Kind::Rooms];
+const BOTH: [Kind; 2] = [Kind::Zones, Kind::Rooms];
 
 struct Bed {
     program: Program,
--- a/tests/sockets/versions.rs
+++ b/tests/sockets/versions.rs
@@ -584,7 +584,7 @@
             // One of them can't take what the version asks for.
             config["limits"]["memory_mb"] = json!(if n == 4 { 64 } else { 192 });
             let role = if n == 0 { "canary" } else { "usual" };
-            let more = format!("trial_ms = 0\nlabels = {{ role = \"{role}\", hall = \"h{}\" }}", n % 2);
+            let more = format!("trial_ms = 0\nlabels = {{ role = \"{role}\", zone = \"h{}\" }}", n % 2);
             let kept = folder();
             Program::run(&["run", "--operator", &operator(&[address], Some(&kept), &more)], &config)
         })
@@ -614,7 +614,7 @@
     let version = control
         .ask(
             &Ask::Publish { at_once: false },
-            Some("[fleet.limits]\nmemory_mb = 128\n[hall.h1.settings.limits]\nmax_open = 10"),
+            Some("[fleet.limits]\nmemory_mb = 128\n[zone.h1.settings.limits]\nmax_open = 10"),
         )
         .expect("published")["version"]
         .as_str()
@@ -646,7 +646,7 @@
         let keys = explained["keys"].as_array().expect("keys");
         keys.iter().find(|k| k["key"] == key).map(|k| k["layer"].clone())
     };
-    assert_eq!(layer("settings.limits.max_open"), Some(json!("hall.h1")));
+    assert_eq!(layer("settings.limits.max_open"), Some(json!("zone.h1")));
     assert_eq!(layer("limits.memory_mb"), Some(json!("fleet")));
 }
 
