Bench overload: many functions, a longer window, and its own word when the machine is too slow

Ruled out: a slow machine (of the stand-ins' answers 0 in 1,000 left over 5 ms late). Cause, by a look at each second: clients asked for one function, and which workers are its homes is the module's choice: tries 76, 0, 76 and 40 a second at four workers of 100 each while the level stood at 35 to 40 for the queue at those that were used. The bench is at fault for that. With 24 functions all four are used (92, 97, 107, 106) and the level stands at 13 to 23, but it saws: 909 to 1,205 a second. Change: 24 functions, 6 s to settle and 5 s to measure; exit 2 where more than 20 in 1,000 of the stand-ins' own answers left late. Also open: a level that rises for the homes of one function while others idle.

--- a/benches/overload.rs
+++ b/benches/overload.rs
@@ -1,7 +1,8 @@
 //! Overload as the fleet handles it, on real processes, paired runs in one go: what is served, counted by worth, with the level of
 //! admission and without it, whole and halved by a cut, against the most that workers can serve of what is worth most; tries at workers for
 //! each first try with the fleet's budget and without; how long until all is let in again; what it costs in packets. Ends
-//! non-zero if a bound is missed.
+//! with 1 if a bound is missed, and with 2 if the machine is too slow for the figures to say anything: by how late the stand-ins' own answers
+//! left. Clients ask for many functions, so that each worker is home to some: with one, which workers are used is chance.
 
 use ochreward_rig::fleet::{Fleet, Setup};
 use ochreward_rig::load::Manner;
@@ -10,7 +11,9 @@
 
 const CREDITS: [f64; 3] = [1.0, 2.0, 4.0];
 const CLIENTS: usize = 100;
-const WINDOW: Duration = Duration::from_secs(4);
+const WINDOW: Duration = Duration::from_secs(5);
+/// Of the stand-ins' answers, so many in a thousand may leave late.
+const LATE: u64 = 20;
 /// What four workers with four lanes of 40 ms can do in a second, all of it of the two classes that are worth most, which clients
 /// ask for alike.
 const IDEAL: f64 = 400.0 * (2.0 + 4.0) / 2.0;
@@ -23,7 +26,7 @@
         overload: if level { "[overload]\nqueue_ms = 100\nstay_ms = 300\n".into() } else { String::new() },
         credits: CREDITS,
         clients: CLIENTS / dispatchers,
-        manner: Manner { stays_away: Duration::from_millis(200), ..Manner::default() },
+        manner: Manner { stays_away: Duration::from_millis(200), functions: 24, ..Manner::default() },
         strict: false,
         ..Setup::default()
     }
@@ -43,7 +46,14 @@
 
 /// Until the level has found its place, or the queue has.
 fn settle() {
-    std::thread::sleep(Duration::from_millis(4_000));
+    std::thread::sleep(Duration::from_millis(6_000));
+}
+
+/// Answers that left late in a thousand, over the workers of a fleet.
+fn late(fleet: &Fleet) -> u64 {
+    let sum = |(late, all): (u64, u64), one: (u64, u64)| (late + one.0, all + one.1);
+    let (late, all) = fleet.workers.iter().map(|w| w.late()).fold((0, 0), sum);
+    late * 1_000 / all.max(1)
 }
 
 /// Tries at workers for each first try, of requests that came in the window.
@@ -66,7 +76,9 @@
         let served = worth(&fleet);
         (fleet, served)
     };
-    let (_, without) = measured(5, false, 52);
+    let (fleet, without) = measured(5, false, 52);
+    let late_without = late(&fleet);
+    drop(fleet);
     let (mut fleet, with) = measured(5, true, 54);
     let bytes = |fleet: &Fleet| fleet.counter(1, "peers_sent_bytes");
     let (before, began) = (bytes(&fleet), Instant::now());
@@ -79,6 +91,8 @@
     let ended = Instant::now();
     fleet.until_so("no level is left", || (0..5).all(|n| fleet.counter(n, "overload_level") == 0));
     let recovery = ended.elapsed().as_millis();
+    let late = late(&fleet).max(late_without);
+    println!("answers_of_stand_ins_that_left_late {late} in 1,000");
     println!("worth_without_level {without:.0} a second");
     println!("worth_with_level {with:.0} a second");
     println!("worth_with_level_halved {halved:.0} a second");
@@ -105,5 +119,12 @@
         missed.push(format!("{bound:.3} tries per first try, 1.1 at the most"));
     }
     missed.iter().for_each(|why| eprintln!("missed: {why}"));
+    if late > LATE {
+        eprintln!(
+            "the machine is too slow: {late} in 1,000 answers of the stand-ins left over {:?} late, {LATE} may; no figure above says anything",
+            ochreward_rig::worker::LATE
+        );
+        std::process::exit(2);
+    }
     std::process::exit(i32::from(!missed.is_empty()));
 }
--- a/crates/rig/src/worker.rs
+++ b/crates/rig/src/worker.rs
@@ -71,8 +71,13 @@
     tries: AtomicU64,
     turned_away: AtomicU64,
     accepted: AtomicU64,
+    answered: AtomicU64,
+    late: AtomicU64,
 }
 
+/// An answer that leaves so long after it was due is late: the machine was busy elsewhere.
+pub const LATE: Duration = Duration::from_millis(5);
+
 /// A worker.
 pub struct Worker {
     /// Where it is.
@@ -175,6 +180,11 @@
         self.shared.accepted.load(Ordering::SeqCst)
     }
 
+    /// Answers that left late, by the machine's fault, and all that it gave.
+    pub fn late(&self) -> (u64, u64) {
+        (self.shared.late.load(Ordering::SeqCst), self.shared.answered.load(Ordering::SeqCst))
+    }
+
     /// The most requests that it ever held at a time.
     pub fn most_held(&self) -> usize {
         self.shared.work.lock().expect("work").most_held
@@ -271,6 +281,8 @@
             match work.due.peek().map(|next| next.0.0) {
                 Some(due) if due <= now => {
                     let Some(Reverse((_, _, bytes, n))) = work.due.pop() else { continue };
+                    self.answered.fetch_add(1, Ordering::SeqCst);
+                    self.late.fetch_add(u64::from(now > due + LATE), Ordering::SeqCst);
                     if bytes.windows(4).any(|w| w == b"\"OK\"") {
                         work.held = work.held.saturating_sub(1);
                     }
