--- /dev/null
+++ b/tests/sources/mod.rs
@@ -0,0 +1,16 @@
+//! The sources of the program, for tests that read them.
+
+use std::path::{Path, PathBuf};
+
+/// Adds every source below a folder that is no test's.
+pub fn below(folder: &Path, into: &mut Vec<PathBuf>) {
+    for entry in std::fs::read_dir(folder).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        let is = |name: &str| path.file_name().is_some_and(|n| n == name);
+        if path.is_dir() && !is("tests") {
+            below(&path, into);
+        } else if path.extension().is_some_and(|e| e == "rs") && !is("tests.rs") {
+            into.push(path);
+        }
+    }
+}
