--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -54,6 +54,8 @@
     pub queued: u64,
     /// Bytes that the system has taken.
     pub written: u64,
+    /// Bytes ever received.
+    pub received: u64,
 }
 
 /// A connection and the object that speaks on it.
@@ -237,6 +239,7 @@
                 Ok((count, _)) => {
                     // Fits: no more than the room was asked for.
                     let _ = self.io.input.push(&poll.scratch[..count]);
+                    self.io.received += count as u64;
                     self.parse(out)?;
                 }
                 Err(rustix::io::Errno::AGAIN) => break,
@@ -267,6 +270,17 @@
 impl Io {
     fn new(fd: OwnedFd, token: Token, interest: Interest, connecting: bool, limits: (usize, usize)) -> Io {
         let (input, output) = (Ring::new(limits.0), Ring::new(limits.1));
-        Io { fd, token, interest, connecting, input, output, ended: false, queued: 0, written: 0 }
+        Io {
+            fd,
+            token,
+            interest,
+            connecting,
+            input,
+            output,
+            ended: false,
+            queued: 0,
+            written: 0,
+            received: 0,
+        }
     }
 }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,11 +3,14 @@
 //! judged over the merged history of all processes.
 #![forbid(unsafe_code)]
 
+pub mod capacity;
 pub mod crossing;
+pub mod fit;
 pub mod fleet;
 pub mod history;
 pub mod load;
 pub mod relay;
 #[allow(missing_docs)]
 pub mod stand;
+pub mod subscribers;
 pub mod worker;
--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -62,6 +62,8 @@
     loads_left: "Looks at idle copies that got no order, as others use them.",
     cold_turns: "Attempts that took a turn at a cold executor.",
     dns_queries: "Queries sent to the name service.",
+    dns_sent_bytes: "Bytes sent to the name service.",
+    dns_received_bytes: "Bytes of packets of the name service.",
     dns_answers: "Answers of the name service used.",
     dns_reopened: "New sockets to the name service, as nothing had come on the old one for a while.",
     dns_dropped: "Packets of the name service dropped.",
@@ -99,6 +101,8 @@
     reloads_refused: "New configurations with a fault, not taken into use.",
     stream_connects: "Connections begun to control services.",
     stream_closes: "Connections to control services that ended.",
+    stream_sent_bytes: "Bytes sent to control services.",
+    stream_received_bytes: "Bytes received from control services.",
     stream_stale_ms: "Milliseconds since a control service was last heard; the highest number if never.",
     versions_applied: "Versions taken into use.",
     versions_refused: "Versions turned down.",
@@ -108,6 +112,14 @@
     version_number: "The number of the version in use; 0 if none is.",
     peers_sent: "Packets sent to peers.",
     peers_sent_bytes: "Bytes sent to peers.",
+    peers_received: "Packets received at the peers' address, whatever they hold.",
+    peers_received_bytes: "Bytes of these.",
+    hints_sent: "Packets to peers that carry hints of executors' deaths; counted in peers_sent as well.",
+    hints_sent_bytes: "Bytes of their notes.",
+    overload_sent: "Packets to peers that carry words on budgets and the level; counted in peers_sent as well.",
+    overload_sent_bytes: "Bytes of their notes.",
+    zones_sent: "Packets to peers that carry reports on zones; counted in peers_sent as well.",
+    zones_sent_bytes: "Bytes of their notes.",
     peers_taken: "Packets of peers taken.",
     peers_garbage: "Packets to the peers' address that were damaged, or of another version or group.",
     peers_replayed: "Packets of peers that came again.",
@@ -144,6 +156,11 @@
     cell.set(cell.get() + 1);
 }
 
+/// Adds so many.
+pub fn add(cell: &Cell<u64>, count: usize) {
+    cell.set(cell.get().saturating_add(count as u64));
+}
+
 /// Keeps the larger.
 pub fn most(cell: &Cell<u64>, value: u64) {
     cell.set(cell.get().max(value));
--- a/src/names/resolver.rs
+++ b/src/names/resolver.rs
@@ -3,7 +3,7 @@
 use super::Executor;
 use super::check::{Checker, Verdict};
 use super::dns::{self, MOST_ANSWER};
-use crate::counters::{Counters, count};
+use crate::counters::{Counters, add, count};
 use crate::net::{Interest, Poll};
 use rustix::net::{AddressFamily, RecvFlags, SendFlags, SocketFlags, SocketType};
 use std::collections::VecDeque;
@@ -104,6 +104,7 @@
         let query = dns::query(self.next_id, &self.service);
         if rustix::net::send(&self.fd, &query, SendFlags::NOSIGNAL).is_ok() {
             count(&self.counters.dns_queries);
+            add(&self.counters.dns_sent_bytes, query.len());
             self.open.push_back(self.next_id);
             if self.open.len() > OPEN {
                 self.open.pop_front();
@@ -124,6 +125,7 @@
                 Err(_) => return news,
             };
             self.silent = None;
+            add(&self.counters.dns_received_bytes, size);
             // Danger: a forged, late or doubled packet. Only an id that is out counts, and only once.
             let message = buffer.get(..size).unwrap_or_default();
             let Some(place) = dns::id(message).and_then(|id| self.open.iter().position(|o| *o == id)) else {
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -14,7 +14,7 @@
 pub use report::{lines, report};
 
 use crate::api::WorkerId;
-use crate::counters::{Counters, count};
+use crate::counters::{Counters, add, count};
 use crate::handover::Word;
 use crate::net::{Interest, Poll, Ready, Token};
 use exchange::Exchange;
@@ -178,6 +178,8 @@
             };
             let from = from.and_then(|f| SocketAddr::try_from(f).ok());
             if let (Some(from), Some(packet)) = (from, buffer.get(..size)) {
+                count(&self.counters.peers_received);
+                add(&self.counters.peers_received_bytes, size);
                 self.machine.received(now, from, packet);
             }
         }
@@ -220,10 +222,27 @@
 
     /// Tells one other, if it is up.
     pub fn tell_one(&mut self, now: u64, to: &str, channel: u8, bytes: Vec<u8>) {
-        self.machine.note(now, to, channel, bytes);
+        self.note(now, to, channel, bytes);
         self.carry();
     }
 
+    /// Hands the machine a note, and counts it with the part of the program that it is from.
+    fn note(&mut self, now: u64, to: &str, channel: u8, bytes: Vec<u8>) {
+        let size = bytes.len();
+        if !self.machine.note(now, to, channel, bytes) {
+            return;
+        }
+        let c = &self.counters;
+        let (packets, sent_bytes) = match channel {
+            hints::CHANNEL => (&c.hints_sent, &c.hints_sent_bytes),
+            crate::overload::CHANNEL => (&c.overload_sent, &c.overload_sent_bytes),
+            crate::zones::CHANNEL => (&c.zones_sent, &c.zones_sent_bytes),
+            _ => return,
+        };
+        count(packets);
+        add(sent_bytes, size);
+    }
+
     /// The others that are up and have been heard.
     pub fn up(&self) -> Vec<Arc<str>> {
         self.machine.members().filter(|m| m.is_up() && m.heard.is_some()).map(|m| m.name.clone()).collect()
@@ -244,7 +263,7 @@
     fn spread(&mut self, now: u64, channel: u8, most: usize, bytes: &[u8]) {
         let up = self.up();
         for name in draw(&mut self.rng, up, most) {
-            self.machine.note(now, &name, channel, bytes.to_vec());
+            self.note(now, &name, channel, bytes.to_vec());
         }
     }
 
--- a/src/versions/stream.rs
+++ b/src/versions/stream.rs
@@ -4,7 +4,7 @@
 use super::keeper::{self, Done, Job, Keeper};
 use super::rules::Grounds;
 use crate::config::{Stream as Told, version::Effective};
-use crate::counters::{Counters, count};
+use crate::counters::{Counters, add, count};
 use crate::net::{Callbacks, Link, Malformed, Poll, Ready, Ring};
 use ochreward_stream::last_good::LastGood;
 use ochreward_stream::subscriber::{Memory, Options, Step, Subscriber, Ticket};
@@ -224,7 +224,9 @@
         } else if let Some(link) = self.link.as_mut().filter(|l| l.io.token() == ready.token) {
             let rising = link.io.connecting();
             let mut said = std::mem::take(&mut self.said);
+            let before = link.io.received;
             let mut result = link.ready(poll, ready, &mut said);
+            add(&self.counters.stream_received_bytes, (link.io.received - before) as usize);
             if rising && result.is_ok() && !link.io.connecting() {
                 self.subscriber.connected_now(now);
             }
@@ -335,7 +337,9 @@
                 }
                 Step::Send(message) => {
                     let Some(link) = &mut self.link else { continue };
-                    if !link.io.queue(&wire::frame(&message)) || link.flush(poll).is_err() {
+                    let frame = wire::frame(&message);
+                    add(&self.counters.stream_sent_bytes, frame.len());
+                    if !link.io.queue(&frame) || link.flush(poll).is_err() {
                         count(&self.counters.stream_closes);
                         self.link = None;
                         self.subscriber.lost(now);
