--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -240,6 +240,7 @@
         stream.as_ref(),
         operator.stations,
         (operator.peers, operator.overload, operator.zones),
+        operator.function_bytes,
     )
     .map_err(io_error("can't start"))?;
     let address = node.address().map_or_else(String::new, |a| a.to_string());
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -58,6 +58,8 @@
     pub overload: Option<overload::Options>,
     /// Zones, left and returned to by the fleet as one.
     pub zones: Option<zones::Options>,
+    /// Bytes that functions may take in the module; `None`: as many as the limit on memory leaves.
+    pub function_bytes: Option<usize>,
 }
 
 impl Operator {
@@ -83,7 +85,7 @@
     }
 
     fn of(top: &Key) -> Operator {
-        top.only(&["mqtt", "agent", "control", "stations", "peers", "overload", "zones"]);
+        top.only(&["mqtt", "agent", "control", "stations", "peers", "overload", "zones", "routing"]);
         let peers = top.get("peers").optional(read_peers);
         // Danger: a part that grows while leases of before still run would be spent twice.
         let hold = peers.as_ref().map_or(u64::MAX, |p| p.settings.hold);
@@ -95,6 +97,7 @@
             peers,
             overload: top.get("overload").optional(|key| read_overload(key, hold)),
             zones: top.get("zones").optional(read_zones),
+            function_bytes: top.get("routing").optional(read_function_bytes).flatten(),
         }
     }
 
@@ -268,6 +271,12 @@
     }
 }
 
+fn read_function_bytes(key: &Key) -> Option<usize> {
+    key.only(&["function_memory_mb"]);
+    let megabytes = |key: &Key| (key.between(1, 65_536, 96) as usize) << 20;
+    key.get("function_memory_mb").optional(megabytes)
+}
+
 fn read_agent(key: &Key) -> Agent {
     key.only(&["listen", "check_every_ms", "check_timeout_ms", "drain_ms", "stop_timeout_ms", "instance"]);
     let instances: Vec<Instance> = key.get("instance").entries().iter().map(instance).collect();
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -2,7 +2,7 @@
 
 use crate::api::{self, Class, Effect, KeyScope, ReportField, WorkerId};
 use crate::keys::{Faults, Key};
-use crate::names::{Executor, State, Vocabulary};
+use crate::names::{Executor, MOST_EXECUTORS, MOST_ID_BYTES, State, Vocabulary};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -264,8 +264,14 @@
         if topology.get("reset").flag_or(false) {
             list.clear();
         }
-        for entry in topology.get("instances").entries() {
-            let id: WorkerId = entry.get("instanceId").text().into();
+        let instances = topology.get("instances");
+        let entries = instances.entries();
+        let few = entries.len() <= MOST_EXECUTORS;
+        instances.must(few, "names more than 65,536 executors: split the fleet into several services");
+        for entry in entries.into_iter().take(MOST_EXECUTORS) {
+            let name = entry.get("instanceId");
+            let id: WorkerId = name.text().into();
+            name.must(id.len() <= MOST_ID_BYTES, "is longer than 255 bytes: see who registered it");
             let states = ["in_service", "terminating", "terminated"];
             let state = match entry.get("lifecycle").word(&states) {
                 0 => State::Ready,
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,25 +4,36 @@
 //! even that passes the time left. All else feeds that estimate, takes workers out of it, or keeps copies.
 
 mod budget;
+mod candidates;
 mod evidence;
+mod fleet;
+mod functions;
 mod hints;
 mod learned;
 mod places;
+mod preference;
+mod renewal;
 mod reports;
 mod tables;
 
 use crate::api::*;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 pub use budget::{Budget, Tokens, ZoneGate};
+use candidates::{Known, MOST_RANKED, Rank, Search, least, least_of};
 use evidence::Evidence;
+use fleet::FleetSums;
+use functions::FunctionTable;
+pub use functions::{LEAST_FUNCTION_BYTES, USUAL_FUNCTION_BYTES};
 use hints::Size;
 pub use learned::Learned;
 pub use places::{Sizes, Tally};
+use preference::PreferenceRing;
+use renewal::{RenewalQueue, Use, drop_while};
 use reports::{Fields, Report};
-use tables::{Attempt, Function, Mark, Pool, Request, Worker, rendezvous, usable};
+use tables::{Attempt, Function, Mark, Pool, Request, Worker, mark, rendezvous, usable};
 
 /// Run time of a class before any answer, as a share of its aim: aims leave room for waits.
 const PRIOR_RUN: f64 = 0.25;
@@ -122,8 +133,8 @@
 /// Share of the ration of loads that is used: clocks differ.
 const RATION: f64 = 0.9;
 
-/// The demand for a function, and what workers' answers say of all: the same for all estimates of a choice.
-type Known = ((f64, f64), (f64, f64));
+/// A function that nobody has asked for in so many keep-alives is kept as a compact record.
+const DORMANT: f64 = 8.0;
 
 #[derive(Clone, Copy)]
 struct Estimate {
@@ -148,6 +159,11 @@
 }
 
 impl Estimate {
+    /// What a choice goes by.
+    fn key(&self) -> f64 {
+        self.total + self.risk
+    }
+
     /// What queues, slowness and a slow store make of a usual request: all but the usual time of a load.
     fn beside_load(&self) -> f64 {
         self.total - self.load - (self.run - self.run / self.size)
@@ -167,15 +183,23 @@
     now: Micros,
     half: f64,
     workers: Vec<Worker>,
-    worker_ids: BTreeMap<WorkerId, usize>,
-    functions: Vec<Function>,
-    function_ids: BTreeMap<FunctionId, usize>,
+    worker_ids: HashMap<WorkerId, usize>,
+    /// Slots of workers that are not listed.
+    unlisted: BTreeSet<usize>,
+    fleet: FleetSums,
+    ring: PreferenceRing,
+    /// The order of preference is by rendezvous over all, up to so many listed workers.
+    ranks_all: bool,
+    most_ranked: usize,
+    functions: FunctionTable,
+    renewals: RenewalQueue,
+    /// Every choice looks at every worker: for tests and benchmarks alone.
+    scans: bool,
     requests: BTreeMap<RequestId, Request>,
     pools: Vec<Pool>,
     served: Evidence,
     /// What attempts in each zone came to of late, whichever the worker: 1 is lost.
     zones: BTreeMap<usize, Evidence>,
-    list_version: u64,
     store: Evidence,
     /// How little this router sees of each worker, from 0 to 1: who sees enough needs no hints from others.
     thin: f64,
@@ -205,14 +229,19 @@
             rng: Pcg32::seed_from_u64(seed),
             now,
             workers: Vec::new(),
-            worker_ids: BTreeMap::new(),
-            functions: Vec::new(),
-            function_ids: BTreeMap::new(),
+            worker_ids: HashMap::new(),
+            unlisted: BTreeSet::new(),
+            fleet: FleetSums::default(),
+            ring: PreferenceRing::default(),
+            ranks_all: true,
+            most_ranked: MOST_RANKED,
+            functions: FunctionTable::new(USUAL_FUNCTION_BYTES),
+            renewals: RenewalQueue::default(),
+            scans: false,
             requests: BTreeMap::new(),
             pools: Vec::new(),
             served: Evidence::default(),
             zones: BTreeMap::new(),
-            list_version: 0,
             store: Evidence::default(),
             thin: 1.0,
             tally: Tally::default(),
@@ -231,7 +260,7 @@
 
     /// Workers, functions and requests that it holds something of.
     pub fn held(&self) -> (usize, usize, usize) {
-        (self.workers.len(), self.functions.len(), self.requests.len())
+        (self.workers.len(), self.functions.counts().0, self.requests.len())
     }
 
     /// From now on a cold worker's budget goes into so many parts, of which one is ours, and so many
@@ -267,6 +296,7 @@
         self.quota_left = set.tenant_quotas.iter().map(|q| (q * QUOTA_SAVED / 1e6, self.now, 0.0)).collect();
         self.fields = Fields::of(&set.report_fields);
         self.set = set;
+        self.rebuild();
     }
 
     /// Takes one event and appends what is to be done about it.
@@ -276,8 +306,8 @@
             Event::Workers { complete, entries } => self.list(*complete, entries, out),
             Event::ListRefused if self.set.list_on_request => out.push(Action::Watch),
             Event::Loaded { worker, function, outcome: Outcome::Full | Outcome::Error, copies, .. } => {
-                let at = self.worker_ids.get(worker).zip(self.function_ids.get(function));
-                if let Some(mark) = at.and_then(|(w, f)| self.workers[*w].marks.get_mut(f)) {
+                let at = self.worker_ids.get(worker).zip(self.functions.slot(function));
+                if let Some(mark) = at.and_then(|(w, f)| self.workers[*w].marks.get_mut(&f)) {
                     (mark.copies, mark.loading) = (*copies, None);
                 }
             }
@@ -287,10 +317,9 @@
                     return out.push(Action::Refuse { id: *id, retry_after: 0 });
                 }
                 let function = self.function(function, *class, *lanes, *load_time);
-                self.rank(function);
                 let (f, pool) = (&mut self.functions[function], &mut self.pools[*class]);
                 let size = Size::weigh(*work, &mut f.hinted, &mut pool.hinted, pool.power);
-                let up = self.workers.iter().filter(|w| w.up).count().max(1) as f64;
+                let up = self.fleet.up().max(1) as f64;
                 self.thin = 1.0 / (1.0 + self.taken.len() as f64 / up / SIGHT);
                 let deadline = self.now.saturating_add(*time_left);
                 self.extra = (self.extra + EXTRA_SHARE).min(EXTRA_MOST);
@@ -312,11 +341,13 @@
                     ..Request::default()
                 };
                 self.requests.insert(*id, request);
+                self.functions[function].in_flight += 1;
                 // Danger: a request that no event concerns any more. The timer ends it, whatever went wrong.
                 out.push(Action::Timer { at: deadline, cookie: *id });
                 self.decide(*id, out);
                 self.functions[function].seen.add(self.now, self.half, 1.0);
                 self.tend(out);
+                self.retire_functions();
             }
             Event::Outcome { id, last, .. } => {
                 self.closed(event);
@@ -340,44 +371,6 @@
         }
     }
 
-    // ---- Membership and drains ----
-
-    fn list(&mut self, complete: bool, entries: &[Listing], out: &mut Vec<Action>) {
-        if self.worker_ids.is_empty() && self.set.list_on_request {
-            out.push(Action::Watch);
-        }
-        if complete {
-            let named: HashSet<&WorkerId> = entries.iter().map(|e| &e.worker).collect();
-            for w in &mut self.workers {
-                let listed = named.contains(&w.id);
-                w.fell = if w.up && !listed { self.now } else { w.fell };
-                (w.up, w.listed) = (w.up && listed, listed);
-            }
-        }
-        self.list_version += 1;
-        let mut free_from = 0;
-        for entry in entries {
-            let index = self.place(entry, &mut free_from);
-            let worker = &mut self.workers[index];
-            worker.listed = entry.standing != Standing::Gone;
-            if entry.standing != Standing::Gone {
-                // The last word on a machine that is gone tells nothing of where it stood.
-                (worker.zone, worker.cell) = (entry.zone, entry.cell);
-            }
-            if entry.ready_at.is_some() && entry.ready_at != worker.ready_at {
-                // A restarted process holds no copies and owes nothing for its past.
-                worker.ready_at = entry.ready_at;
-                self.zones.remove(&entry.zone);
-                worker.forget_copies();
-                worker.slow = Evidence::default();
-                worker.turn = 0;
-                worker.lost.fill(Evidence::default());
-            }
-            let up = entry.standing == Standing::Healthy;
-            (worker.fell, worker.up) = (if worker.up && !up { self.now } else { worker.fell }, up);
-        }
-    }
-
     // ---- Copies kept and loaded ahead ----
 
     /// Danger: a copy unused for a while is unloaded, and the next request waits. Orders hold it.
@@ -386,7 +379,8 @@
         if self.set.load_window == 0 || !self.set.orders {
             // Danger: copies held beyond any ration push out what others need, and memory has its price.
             let since = self.now.saturating_sub((SIGHT_KEPT * self.set.keep_alive as f64) as Micros);
-            return self.taken.retain(|t| *t > since);
+            self.renewals.clear();
+            return drop_while(&mut self.taken, |t| t <= since);
         }
         let early = self.now < self.tended + self.set.load_window / 100;
         if early {
@@ -394,25 +388,29 @@
         }
         self.tended = self.now;
         let keep = self.set.keep_alive as f64;
+        let workers = &self.workers;
+        let last =
+            |used: &Use| workers[used.worker].marks.get(&used.function).is_some_and(|m| m.used == used.at);
+        let uses: Vec<Use> = self.renewals.due(self.now, keep, (REFRESH, BELIEVE), last).copied().collect();
         let mut due: Vec<(f64, usize, usize)> = Vec::new();
-        for (n, w) in self.workers.iter().enumerate().filter(|(_, w)| w.up) {
-            for (f, m) in w.marks.iter().filter(|(_, m)| m.copies > 0 && m.loading.is_none() && m.own == 0) {
-                let (idle, unasked) = ((self.now - m.used) as f64 / keep, (self.now - m.asked) as f64 / keep);
-                let function = &self.functions[*f];
-                if (REFRESH..BELIEVE).contains(&idle) && unasked < WANTED && function.served {
-                    // Danger: many routers that each hold what all use give as many orders as requests.
-                    let rate = function.seen.rate(self.now, self.half);
-                    let others = (self.set.balancers - 1) as f64 * (rate * keep).max(1.0 / unasked);
-                    let left = others / self.demand(function).1 >= KEPT;
-                    self.tally.loads_left += u64::from(left);
-                    due.extend((!left).then_some((rate, n, *f)));
-                }
+        for Use { worker: n, function: f, .. } in uses {
+            let (w, function) = (&self.workers[n], &self.functions[f]);
+            let m = &w.marks[&f];
+            let unasked = (self.now - m.asked) as f64 / keep;
+            let held = w.up && m.copies > 0 && m.loading.is_none() && m.own == 0;
+            if held && unasked < WANTED && function.served {
+                // Danger: many routers that each hold what all use give as many orders as requests.
+                let rate = function.seen.rate(self.now, self.half);
+                let others = (self.set.balancers - 1) as f64 * (rate * keep).max(1.0 / unasked);
+                let left = others / self.demand(function).1 >= KEPT;
+                self.tally.loads_left += u64::from(left);
+                due.extend((!left).then_some((rate, n, f)));
             }
         }
-        due.sort_by(|a, b| b.0.total_cmp(&a.0));
+        due.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.1, a.2).cmp(&(b.1, b.2))));
         let since = self.now.saturating_sub(self.set.load_window);
-        self.taken.retain(|t| *t > since);
-        self.ordered.retain(|t| *t >= since);
+        drop_while(&mut self.taken, |t| t <= since);
+        drop_while(&mut self.ordered, |t| t < since);
         let most = self.set.loads_anyway + self.set.loads_per_request * self.taken.len() as f64;
         let left = (RATION * most) as usize;
         for (_, worker, function) in due.into_iter().take(left.saturating_sub(self.ordered.len())) {
@@ -422,28 +420,18 @@
             self.ordered.push_back(self.now);
             let (w, id) = (&mut self.workers[worker], self.functions[function].id.clone());
             w.marks.entry(function).and_modify(|m| m.used = self.now);
+            self.renewals.push(Use { at: self.now, worker, function });
             out.push(Action::Load { worker: w.id.clone(), function: id, copies: 1 });
         }
     }
 
     // ---- Run- and load-time estimates ----
 
-    /// A function's workers in the order in which all routers would have them hold it.
-    fn rank(&mut self, function: usize) {
-        let f = &mut self.functions[function];
-        if f.ranked != self.list_version {
-            let rank = |(i, w): (usize, &Worker)| (rendezvous(&f.id, &w.id), i);
-            let mut ranks: Vec<(u64, usize)> = self.workers.iter().enumerate().map(rank).collect();
-            ranks.sort_unstable_by(|a, b| b.cmp(a));
-            (f.homes, f.ranked) = (ranks.into_iter().map(|r| r.1).collect(), self.list_version);
-        }
-    }
-
     /// What a worker tells of all, and how much that counts: one sample at the most, of a cold one none.
     fn speaks(&self, w: &Worker) -> (f64, f64) {
         let cold = self.present_share(w) < 1.0;
         let voice = if cold { 0.0 } else { self.thin * w.slow.samples(self.now, self.half).min(1.0) };
-        (voice * w.slow.mean(self.now, self.half, 1.0, f64::MIN_POSITIVE), voice)
+        (voice * w.slow.own_mean().unwrap_or(1.0), voice)
     }
 
     /// Danger: of many routers each hears little of any worker. One not heard of is as slow as its peers;
@@ -454,9 +442,10 @@
         worker.slow.mean(self.now, self.half, peers.powf(self.present_share(worker)), DOUBT)
     }
 
+    /// What all workers tell, and how much that counts.
     fn peers(&self) -> (f64, f64) {
-        let said = self.workers.iter().map(|w| self.speaks(w));
-        said.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
+        let (sum, count) = self.fleet.slowness(self.now);
+        (self.thin * sum, self.thin * count)
     }
 
     fn base_load(&self, function: &Function) -> f64 {
@@ -469,8 +458,10 @@
 
     /// Moves a worker's slowness by the relative error of a prediction.
     fn learn_slowness(&mut self, worker: usize, error: f64) {
+        self.fleet.advance(self.now);
         let slow = self.slowness(&self.workers[worker], self.peers());
         self.workers[worker].slow.learn(self.now, self.half, slow * (1.0 + error), LAST);
+        self.fleet.update(worker, &self.workers[worker], self.now);
     }
 
     /// A warm answer against its prediction teaches the function, the worker and the class.
@@ -549,7 +540,7 @@
 
     /// Danger: all routers together push a fresh worker over. Its budget goes round them in turn; a turn not
     /// used lapses. Its capacity is what its peers serve, or one core's. The turn to take, if it is ours.
-    fn turn(&self, w: &Worker, f: &Function) -> Option<u64> {
+    fn turn(&self, w: &Worker, f: &Function, known: &Known) -> Option<u64> {
         let age = w.ready_at.map_or(f64::INFINITY, |r| self.now.saturating_sub(r) as f64);
         let warm = self.set.warm_after as f64;
         if age >= warm {
@@ -558,8 +549,7 @@
         let (alive, routers, me) =
             self.division.unwrap_or((self.set.balancers, self.set.balancers, self.set.me));
         let routers = routers.max(1) as u64;
-        // The list as it is now: a function's homes may be those of an older one.
-        let up = self.workers.iter().filter(|w| w.up).map(|w| self.present_share(w)).sum::<f64>().max(1.0);
+        let up = known.capacity.get_or_init(|| self.capacity()).max(1.0);
         let each = self.served.rate(self.now, self.half) * alive as f64 / up;
         let each = each.max(1.0 / self.pools[f.class].run.max(1.0));
         // Danger: of many routers, one with a turn has few requests for it. As many more go round as lapse.
@@ -593,17 +583,29 @@
         left < 1.0
     }
 
-    fn estimate(&self, request: &Request, worker: usize, (demand, peers): Known) -> Option<Estimate> {
+    /// The time of a load, and what its fetch costs in time.
+    fn whole_load(&self, request: &Request) -> f64 {
+        self.load_time(request.function) + self.set.fetch_price * request.rules.aim as f64
+    }
+
+    fn estimate(
+        &self,
+        request: &Request,
+        worker: usize,
+        rank: Option<&Rank>,
+        known: &Known,
+    ) -> Option<Estimate> {
         let w = &self.workers[worker];
         let f = &self.functions[request.function];
         let class = &request.rules;
-        let slow = self.slowness(w, peers) / self.present_share(w).powf(USUAL_COLD);
+        let slow = self.slowness(w, known.peers) / self.present_share(w).powf(USUAL_COLD);
         let run = f.run * slow * request.size.size;
-        let turn = self.turn(w, f).filter(|_| self.legal(request, worker))?;
+        let turn = self.turn(w, f, known).filter(|_| self.legal(request, worker))?;
         let mark = w.marks.get(&request.function).copied().unwrap_or_default();
         let warmth = self.warmth(&mark);
-        let whole_load = self.load_time(request.function) + self.set.fetch_price * class.aim as f64;
-        let kept = if matches!(warmth, Warmth::Cold) { self.kept_by_others(f, worker, demand) } else { None };
+        let whole_load = self.whole_load(request);
+        let rank = rank.filter(|_| matches!(warmth, Warmth::Cold));
+        let kept = rank.map(|rank| self.kept_by_others(f, rank, known));
         let (load, copies) = match warmth {
             Warmth::Warm => (0.0, mark.copies),
             Warmth::Loading(left) => (left, 1),
@@ -670,24 +672,22 @@
 
     /// The chance that others keep the function warm at the worker, one of its first ranks. Danger: after a
     /// loss of many, all believe in copies that none has loaded yet. What rose has had its time from then on.
-    fn kept_by_others(&self, f: &Function, worker: usize, (rate, homes): (f64, f64)) -> Option<f64> {
-        let (mut up, mut all, mut fell) = (0.0, 0.0, 0);
-        for above in f.homes.iter().take_while(|h| **h != worker).map(|h| &self.workers[*h]) {
-            (up, all) = (if above.up { up + 1.0 } else { up }, all + 1.0);
-            fell = if above.up { fell } else { fell.max(above.fell) };
-            if up >= homes {
-                return None;
-            }
-        }
-        let of_class = self.pools[f.class].found.mean(self.now, self.half, PRIOR_FOUND, 1.0);
-        let found = f.found.mean(self.now, self.half, of_class, 1.0);
-        let age = match self.workers[worker].ready_at.max(Some(fell).filter(|_| all >= homes)) {
+    fn kept_by_others(&self, f: &Function, rank: &Rank, known: &Known) -> f64 {
+        let (rate, homes, up) = (known.rate, known.homes, rank.up);
+        let fell = Some(rank.fell).filter(|_| rank.all >= homes);
+        let age = match self.workers[rank.worker].ready_at.max(fell) {
             Some(since) => (self.now.saturating_sub(since) as f64 - self.base_load(f)).max(0.0),
             None => f64::INFINITY,
         };
         let uses = (rate / homes).max(1.0 / self.set.keep_alive as f64) * age;
         // The first ranks are homes by all guesses, the last by few: all fill them in one order.
-        Some(found * (1.0 - (-uses).exp()) * (-self.thin * up / homes).exp())
+        known.found * (1.0 - (-uses).exp()) * (-self.thin * up / homes).exp()
+    }
+
+    /// The chance that a function is found at its homes where this router does not know, given time.
+    fn found(&self, f: &Function) -> f64 {
+        let of_class = self.pools[f.class].found.mean(self.now, self.half, PRIOR_FOUND, 1.0);
+        f.found.mean(self.now, self.half, of_class, 1.0)
     }
 
     fn warmth(&self, mark: &Mark) -> Warmth {
@@ -707,29 +707,26 @@
 
     /// The smallest estimate; cold ties are broken by a hash that all routers share, warm ones at random.
     fn best(&mut self, request: &Request, only_cold: bool) -> Option<Estimate> {
-        let mut warm: Vec<Estimate> = Vec::new();
-        let mut cold: Vec<Estimate> = Vec::new();
-        let known = (self.demand(&self.functions[request.function]), self.peers());
-        for index in 0..self.workers.len() {
-            if let Some(e) = self.estimate(request, index, known) {
-                if e.cold { cold.push(e) } else { warm.push(e) }
-            }
-        }
-        let least = |es: &[Estimate]| es.iter().map(|e| e.total + e.risk).fold(f64::INFINITY, f64::min);
-        let (least_warm, least_cold) = (least(&warm), least(&cold));
-        if least_warm <= least_cold && !only_cold {
-            // Danger: routers with the same late view choose alike and flood the worker that looked best.
-            let error = VIEW_ERROR * (1.0 - 1.0 / (1.0 + self.set.balancers as f64));
-            let mut chance = || error * f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
-            let keys = warm.iter().map(|e| e.total + e.risk + chance() * e.run).collect::<Vec<f64>>();
-            let pick = (0..warm.len()).min_by(|a, b| keys[*a].total_cmp(&keys[*b]));
-            return pick.map(|p| warm[p]);
-        }
-        let tie = if self.fields.told() { COLD_TIE_TOLD } else { COLD_TIE };
-        let tie = least_cold + tie * self.load_time(request.function);
-        let f = &self.functions[request.function];
-        let rank = |e: &Estimate| rendezvous(&f.id, &self.workers[e.worker].id);
-        cold.into_iter().filter(|e| e.total + e.risk <= tie).max_by_key(rank)
+        let known = self.known(request.function);
+        let load = self.load_time(request.function);
+        let tie = load * if self.fields.told() { COLD_TIE_TOLD } else { COLD_TIE };
+        // Danger: routers with the same late view choose alike and flood the worker that looked best.
+        let error = VIEW_ERROR * (1.0 - 1.0 / (1.0 + self.set.balancers as f64));
+        let draw = u64::from(self.rng.next_u32()) << 32 | u64::from(self.rng.next_u32());
+        let key = |e: &Estimate| e.key() + error * preference::unit(draw, e.worker) * e.run;
+        if self.scans {
+            return self.best_of_all(request, &known, only_cold, tie, key);
+        }
+        self.find_preferred(request.function, 0);
+        let mut search = Search::new(self, request, &known);
+        search.take_warm(key);
+        let least_warm = least(&search.warm, Estimate::key);
+        let cold = only_cold || search.any_cold_before(least_warm);
+        let found = if cold { search.first_cold(tie) } else { least_of(&search.warm, key) };
+        // As many again next time without a search of the ring for each.
+        let wanted = search.end();
+        self.find_preferred(request.function, wanted);
+        found
     }
 
     /// Sends a request that has no attempt out, or ends it.
@@ -779,10 +776,12 @@
     fn send(&mut self, id: RequestId, e: Estimate, out: &mut Vec<Action>) {
         let load = self.load_time(self.requests[&id].function) as Micros;
         let Some(request) = self.requests.get_mut(&id) else { return };
+        let function = request.function;
         let w = &mut self.workers[e.worker];
         self.budget.enter(w);
         w.open.push((id, request.attempts.len()));
-        let mark = w.marks.entry(request.function).or_default();
+        let mark = mark(w, e.worker, &mut self.functions[function], function);
+        self.renewals.push(Use { at: self.now, worker: e.worker, function });
         mark.own += 1;
         (mark.used, mark.asked) = (self.now, self.now);
         if e.cold {
@@ -872,6 +871,8 @@
             out.extend(open.map(|(attempt, _)| Action::Cancel { id, attempt }));
         }
         if request.attempts.iter().all(|a| !a.open) {
+            let function = &mut self.functions[request.function];
+            function.in_flight = function.in_flight.saturating_sub(1);
             self.requests.remove(&id);
         }
     }
@@ -925,7 +926,7 @@
         if let Some(held) = self.fields.held(report) {
             w.report = Report::hear(now, held, w.open.len());
         }
-        let mark = w.marks.entry(function).or_default();
+        let mark = mark(w, worker, &mut self.functions[function], function);
         mark.own = mark.own.saturating_sub(1);
         if let Some(crowd) = crowd {
             mark.others = f64::from(crowd.saturating_sub(mark.own));
@@ -944,7 +945,8 @@
         match outcome {
             Outcome::Ok => {
                 self.served.add(now, self.half, 1.0);
-                self.functions[function].served = true;
+                self.functions.served(now, function);
+                self.renewals.push(Use { at: now, worker, function });
                 mark.used = now;
                 mark.copies = mark.copies.max(1);
                 mark.loading = None;
--- a/src/control/budget.rs
+++ b/src/control/budget.rs
@@ -2,7 +2,7 @@
 //! all is as the router's own limits say. Here it is only applied to one request at a time.
 
 use super::tables::{Request, Worker, rendezvous};
-use super::{Estimate, Router};
+use super::{Estimate, Router, candidates};
 use crate::api::*;
 use ochreward_budget::admission;
 use rand_pcg::rand_core::Rng;
@@ -114,9 +114,10 @@
             // Danger: what failed before a zone was left would keep this router from it for long. The fleet lets it in again: it is tried.
             if gate.left > 0 && self.budget.zones.get(zone).is_some_and(|last| last.left == 0) {
                 self.zones.remove(zone);
-                for w in self.workers.iter_mut().filter(|w| w.zone == *zone) {
+                for (slot, w) in self.workers.iter_mut().enumerate().filter(|(_, w)| w.zone == *zone) {
                     w.lost.fill(Default::default());
                     w.slow = Default::default();
+                    self.fleet.update(slot, w, self.now);
                 }
             }
         }
@@ -124,16 +125,18 @@
     }
 
     /// A first try that may be repeated and goes to a zone which the fleet tries, if it can be in time there: its smallest estimate.
-    pub(super) fn trial(&self, request: &Request) -> Option<Estimate> {
-        let wanted = |zone: &usize| self.budget.zones.get(zone).is_some_and(|g| g.wanted && g.left > 0);
+    pub(super) fn trial(&mut self, request: &Request) -> Option<Estimate> {
         let may = request.attempts.is_empty() && request.rules.effect == Effect::Idempotent;
-        if !may || !self.budget.zones.keys().any(wanted) {
+        if !may || !self.budget.zones.values().any(|g| g.wanted && g.left > 0) {
             return None;
         }
-        let known = (self.demand(&self.functions[request.function]), self.peers());
+        let known = self.known(request.function);
+        let ranks = self.ranks(request.function, known.homes);
+        let wanted = |zone: &usize| self.budget.zones.get(zone).is_some_and(|g| g.wanted && g.left > 0);
         let there = (0..self.workers.len()).filter(|w| wanted(&self.workers[*w].zone));
         let left = request.deadline.saturating_sub(self.now) as f64;
-        let fits = there.filter_map(|w| self.estimate(request, w, known)).filter(|e| e.total <= left);
+        let estimate = |w| self.estimate(request, w, candidates::rank(&ranks, w), &known);
+        let fits = there.filter_map(estimate).filter(|e| e.total <= left);
         fits.min_by(|a, b| a.total.total_cmp(&b.total))
     }
 
--- /dev/null
+++ b/src/control/candidates/tests.rs
@@ -0,0 +1,463 @@
+//! The search against a look at every worker: two routers that differ in nothing else live through the same drawn
+//! histories, and must want the same at every event.
+
+use super::*;
+use crate::api::*;
+use crate::control::fleet::Times;
+use crate::control::fleet::tests::{close, walked};
+use crate::control::{Budget, Tokens, ZoneGate};
+use rand_pcg::Pcg32;
+use rand_pcg::rand_core::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+const MS: Micros = 1_000;
+const S: Micros = 1_000_000;
+/// Histories, and events of each: over a million in all.
+const HISTORIES: u64 = 208;
+const EVENTS: usize = 5_000;
+/// How often what is kept up to date is compared with what a walk over the tables finds.
+const AUDIT_EVERY: usize = 500;
+const ZONES: usize = 3;
+
+/// What is out at a worker.
+#[derive(Clone)]
+struct Open {
+    id: RequestId,
+    attempt: usize,
+    sent: Micros,
+}
+
+/// Two routers in one history.
+struct History {
+    rng: Pcg32,
+    now: Micros,
+    search: Router,
+    scan: Router,
+    settings: Settings,
+    workers: BTreeMap<usize, Listing>,
+    next_worker: usize,
+    next_request: RequestId,
+    functions: u64,
+    open: Vec<Open>,
+    attempts: BTreeMap<RequestId, usize>,
+    orders: Vec<(WorkerId, FunctionId)>,
+    timers: BTreeSet<(Micros, u64)>,
+    /// Choices that sent something, to show that histories are not empty.
+    sent: usize,
+}
+
+impl History {
+    fn new(seed: u64) -> History {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let settings = drawn_settings(&mut rng);
+        let router = || Router::new(settings.clone(), seed, 0);
+        let (mut search, mut scan) = (router(), router());
+        // Small fleets and large ones prefer workers in orders of their own; some histories go from one to the other.
+        let most_ranked = [0, 0, 11, 40, usize::MAX][seed as usize % 5];
+        (search.most_ranked, scan.most_ranked) = (most_ranked, most_ranked);
+        scan.scan(true);
+        let functions = [5, 40, 400][seed as usize % 3];
+        let mut history = History {
+            rng,
+            now: 20 * S,
+            search,
+            scan,
+            settings,
+            workers: BTreeMap::new(),
+            next_worker: 0,
+            next_request: 1,
+            functions,
+            open: Vec::new(),
+            attempts: BTreeMap::new(),
+            orders: Vec::new(),
+            timers: BTreeSet::new(),
+            sent: 0,
+        };
+        let count = [3, 12, 40, 120][(seed / 3) as usize % 4];
+        let joins = (0..count).map(|_| history.join(None)).collect();
+        history.tell(&Event::Workers { complete: true, entries: joins });
+        history
+    }
+
+    fn below(&mut self, most: u64) -> u64 {
+        u64::from(self.rng.next_u32()) % most
+    }
+
+    fn chance(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+
+    fn join(&mut self, ready_at: Option<Micros>) -> Listing {
+        let n = self.next_worker;
+        self.next_worker += 1;
+        let (zone, cell) = (n % ZONES, n % 4);
+        let worker = format!("w{n}").into();
+        let listing = Listing { worker, zone, kind: 0, cell, standing: Standing::Healthy, ready_at };
+        self.workers.insert(n, listing.clone());
+        listing
+    }
+
+    /// Tells both the same; what they want must be the same.
+    fn tell(&mut self, event: &Event) {
+        let (mut wanted, mut other) = (Vec::new(), Vec::new());
+        self.search.handle(self.now, event, &mut wanted);
+        self.scan.handle(self.now, event, &mut other);
+        assert_eq!(wanted, other, "search and scan at {} us, {event:?}", self.now);
+        for action in wanted {
+            self.take(action);
+        }
+    }
+
+    fn take(&mut self, action: Action) {
+        match action {
+            Action::Send { id, .. } => {
+                self.sent += 1;
+                let count = self.attempts.entry(id).or_default();
+                let attempt = *count;
+                *count += 1;
+                self.open.push(Open { id, attempt, sent: self.now });
+            }
+            Action::Load { worker, function, .. } => self.orders.push((worker, function)),
+            Action::Timer { at, cookie } => drop(self.timers.insert((at, cookie))),
+            Action::Cancel { id, attempt } => {
+                if let Some(place) = self.open.iter().position(|o| o.id == id && o.attempt == attempt) {
+                    let open = self.open.swap_remove(place);
+                    self.end(&open, Outcome::Cancelled, Found::Untold);
+                }
+            }
+            Action::Refuse { .. } | Action::Fail { .. } | Action::Watch => {}
+        }
+    }
+
+    fn end(&mut self, open: &Open, outcome: Outcome, found: Found) {
+        let report = if self.chance(50) { vec![self.below(30) as f64] } else { Vec::new() };
+        let crowd = self.chance(60).then(|| self.below(5) as u32);
+        self.tell(&Event::Outcome {
+            id: open.id,
+            attempt: open.attempt,
+            last: false,
+            outcome,
+            found,
+            crowd,
+            latency: self.now - open.sent,
+            report,
+        });
+    }
+
+    /// Lets time pass, and timers go off on their way.
+    fn pass(&mut self, time: Micros) {
+        let until = self.now + time;
+        while let Some((at, cookie)) = self.timers.first().copied().filter(|(at, _)| *at <= until) {
+            self.timers.pop_first();
+            self.now = self.now.max(at);
+            self.tell(&Event::Timer { cookie });
+        }
+        self.now = until;
+    }
+
+    fn ask(&mut self) {
+        // Half of all requests are for a few functions.
+        let few = if self.chance(50) { self.functions.div_ceil(8) } else { self.functions };
+        let function = format!("f{}", self.below(few)).as_str().into();
+        let class = self.below(self.settings.classes.len() as u64) as usize;
+        let time_left = if self.chance(10) { 200 * MS } else { 3 * S };
+        let work = self.chance(30).then(|| 20 * MS + self.below(300 * MS));
+        let load_time = self.chance(70).then_some(400 * MS);
+        let (tenant, again) = (self.below(2) as usize, self.chance(10));
+        let id = self.next_request;
+        self.next_request += 1;
+        self.tell(&Event::Request {
+            id,
+            class,
+            tenant,
+            function,
+            lanes: 2.0,
+            load_time,
+            work,
+            again,
+            time_left,
+        });
+    }
+
+    fn answer(&mut self) {
+        if self.open.is_empty() {
+            return;
+        }
+        let place = self.below(self.open.len() as u64) as usize;
+        let open = self.open.swap_remove(place);
+        let (outcome, found) = match self.below(40) {
+            0..24 => (Outcome::Ok, Found::Warm),
+            24..28 => (Outcome::Ok, Found::BeganLoad),
+            28..30 => (Outcome::Ok, Found::WaitedForLoad),
+            30 => (Outcome::Ok, Found::Untold),
+            31 => (Outcome::Full, Found::Untold),
+            32 => (Outcome::Miss, Found::Untold),
+            33 => (Outcome::Error, Found::LoadFailed),
+            34 => (Outcome::Error, Found::Untold),
+            35 => (Outcome::Timeout, Found::Untold),
+            36 => (Outcome::ConnectFailed, Found::Untold),
+            37 => (Outcome::Reset, Found::Untold),
+            38 => (Outcome::Moot, Found::Untold),
+            _ => (Outcome::Unknown, Found::Untold),
+        };
+        self.end(&open, outcome, found);
+    }
+
+    fn loaded(&mut self) {
+        if let Some((worker, function)) = self.orders.pop() {
+            let (outcome, copies) =
+                [(Outcome::Ok, 1), (Outcome::Full, 0), (Outcome::Error, 0)][self.below(3) as usize];
+            self.tell(&Event::Loaded { worker, function, outcome, latency: 300 * MS, copies });
+        }
+    }
+
+    fn anyone(&mut self) -> Option<usize> {
+        let all: Vec<usize> = self.workers.keys().copied().collect();
+        if all.is_empty() { None } else { Some(all[self.below(all.len() as u64) as usize]) }
+    }
+
+    fn change(&mut self, n: usize, standing: Standing, ready_at: Option<Micros>) -> Listing {
+        let listing = self.workers.get_mut(&n).expect("a worker");
+        listing.standing = standing;
+        listing.ready_at = ready_at.or(listing.ready_at);
+        listing.clone()
+    }
+
+    /// Joins, drains, restarts, replacements, a zone lost and back, whole lists.
+    fn list(&mut self) {
+        let Some(n) = self.anyone() else { return };
+        let now = self.now;
+        let (complete, entries) = match self.below(8) {
+            0 => (false, vec![self.join(Some(now))]),
+            1 => (false, vec![self.change(n, Standing::Draining, None)]),
+            2 => (false, vec![self.change(n, Standing::Healthy, None)]),
+            3 => (false, vec![self.change(n, Standing::Healthy, Some(now))]),
+            4 if self.workers.len() > 3 => {
+                let gone = self.change(n, Standing::Gone, None);
+                self.workers.remove(&n);
+                (false, vec![gone])
+            }
+            5 => {
+                let zone = n % ZONES;
+                let standing = if self.chance(50) { Standing::Gone } else { Standing::Healthy };
+                let there: Vec<usize> = self.workers.keys().copied().filter(|w| w % ZONES == zone).collect();
+                let ready_at = (standing == Standing::Healthy).then_some(now);
+                (false, there.into_iter().map(|w| self.change(w, standing, ready_at)).collect())
+            }
+            6 => {
+                // A whole list, in another order, some replaced.
+                let leaves: Vec<usize> = self.workers.keys().copied().filter(|w| w % 7 == n % 7).collect();
+                if self.workers.len() > leaves.len() + 2 {
+                    leaves.iter().for_each(|w| drop(self.workers.remove(w)));
+                    leaves.iter().for_each(|_| drop(self.join(Some(now))));
+                }
+                (true, self.workers.values().rev().cloned().collect())
+            }
+            _ => (true, self.workers.values().cloned().collect()),
+        };
+        self.tell(&Event::Workers { complete, entries });
+    }
+
+    /// Bans, gates of zones, a level of admission, budgets of resends; or none of it.
+    fn budget(&mut self) {
+        let mut next = Budget::default();
+        if self.chance(60) {
+            if let Some(n) = self.anyone() {
+                next.gates.insert(self.workers[&n].worker.clone(), (self.below(3), 0));
+            }
+            if self.chance(50) {
+                let zone = self.below(ZONES as u64) as usize;
+                next.zones.insert(zone, ZoneGate { left: self.below(4), got: 0, wanted: self.chance(50) });
+            }
+            next.resends = self.chance(50).then(|| Tokens { left: self.below(5), ..Tokens::default() });
+            next.orders = self.chance(50).then(|| Tokens { left: self.below(5), ..Tokens::default() });
+            (next.level, next.back) = (if self.chance(20) { self.below(40) as u8 } else { 0 }, 200 * MS);
+        }
+        let one = self.search.budget(next.clone());
+        let other = self.scan.budget(next);
+        assert_eq!(one, other, "what was spent");
+    }
+
+    fn configure(&mut self) {
+        self.settings.keep_alive = [4 * S, 10 * S, 14 * S][self.below(3) as usize];
+        self.settings.may_duplicate = self.chance(50);
+        let (search, scan) = (&mut self.search, &mut self.scan);
+        search.configure(self.settings.clone(), &[]);
+        scan.configure(self.settings.clone(), &[]);
+    }
+
+    fn step(&mut self) {
+        let time = if self.chance(1) { 5 * S + self.below(20 * S) } else { self.below(20 * MS) };
+        self.pass(time);
+        match self.below(1_000) {
+            0..480 => self.ask(),
+            480..930 => self.answer(),
+            930..950 => self.loaded(),
+            950..975 => self.list(),
+            975..985 => self.budget(),
+            985..995 => {
+                let id = self.next_request.saturating_sub(1 + self.below(10));
+                self.tell(&Event::Abandoned { id });
+            }
+            995..997 => {
+                if let Some(worker) = self.anyone().map(|n| self.workers[&n].worker.clone()) {
+                    self.search.unreached(self.now, &worker);
+                    self.scan.unreached(self.now, &worker);
+                }
+            }
+            997 => self.configure(),
+            _ => {
+                let id = self.next_request.saturating_sub(1 + self.below(5));
+                self.tell(&Event::Streaming { id });
+            }
+        }
+    }
+
+    /// What is kept up to date is what a walk over the tables finds.
+    fn audit(&mut self) {
+        let now = self.now;
+        let router = &mut self.search;
+        router.fleet.advance(now);
+        let times = Times { half: router.half, warm_after: router.set.warm_after };
+        let walked = walked(&router.workers, times, |w| router.present_share(w), now);
+        let (sum, count) = router.fleet.slowness(now);
+        let capacity = router.fleet.capacity(|slot| router.present_share(&router.workers[slot]));
+        let kept = [sum, count, capacity, router.fleet.up() as f64];
+        assert!(
+            kept.iter().zip(walked).all(|(one, other)| close(*one, other)),
+            "{kept:?}, walked {walked:?}"
+        );
+        let mut marks: BTreeSet<(usize, u32)> = BTreeSet::new();
+        for (slot, worker) in router.workers.iter().enumerate() {
+            marks.extend(worker.marks.keys().map(|function| (*function, slot as u32)));
+            assert_eq!(router.worker_ids[&worker.id], slot);
+            assert_eq!(router.unlisted.contains(&slot), !worker.listed, "{}", worker.id);
+        }
+        let holders = router.functions.iter().flat_map(|(slot, f)| f.holders.iter().map(move |w| (slot, *w)));
+        assert_eq!(holders.collect::<BTreeSet<_>>(), marks, "holders are those that hold a mark");
+        let mut in_flight: BTreeMap<usize, u32> = BTreeMap::new();
+        router.requests.values().for_each(|r| *in_flight.entry(r.function).or_default() += 1);
+        for (slot, function) in router.functions.iter() {
+            assert_eq!(function.in_flight, in_flight.get(&slot).copied().unwrap_or(0));
+        }
+        let Some((slot, _)) = router.functions.iter().next() else { return };
+        let function = router.functions[slot].id.clone();
+        let mut sorted: Vec<usize> = (0..router.workers.len()).collect();
+        sorted.sort_by_key(|w| router.distance(&function, *w));
+        let homes = router.known(slot).homes;
+        let mut expected = Vec::new();
+        let mut up = 0.0;
+        for worker in &sorted {
+            if up >= homes {
+                break;
+            }
+            expected.push(*worker);
+            up += f64::from(u8::from(router.workers[*worker].up));
+        }
+        expected.sort_unstable();
+        let found: Vec<usize> = router.ranks(slot, homes).iter().map(|r| r.worker).collect();
+        assert_eq!(found, expected, "the first of those preferred");
+        assert_eq!(router.preferred(&router.functions[slot]).collect::<Vec<_>>(), sorted);
+    }
+}
+
+fn drawn_settings(rng: &mut Pcg32) -> Settings {
+    let mut below = |most: u32| rng.next_u32() % most;
+    let class = |effect, key_scope| Class {
+        aim: 800 * MS,
+        deadline: 3 * S,
+        effect,
+        key_scope,
+        repeat_window: 1_500 * MS,
+        credit: 1.0,
+        late_worth: 0.1,
+    };
+    Settings {
+        balancers: [1, 3, 30, 300][below(4) as usize],
+        me: 0,
+        my_zone: 0,
+        classes: vec![
+            class(Effect::Idempotent, KeyScope::All),
+            class(Effect::Deduplicated, KeyScope::Zone),
+            class(Effect::AtMostOnce, KeyScope::Cell),
+        ],
+        tenant_quotas: vec![20.0],
+        over_share_worth: 0.2,
+        report_fields: if below(2) == 0 { vec![ReportField::Inflight] } else { vec![] },
+        max_attempts: 3,
+        may_duplicate: below(2) == 0,
+        may_cancel: below(4) > 0,
+        max_retry_after: S,
+        tick: MS,
+        cold_share: 0.15,
+        warm_after: 14 * S,
+        fall_multiple: 2.0,
+        fall_window: 1_500 * MS,
+        orders: below(4) > 0,
+        loads_on_miss: true,
+        keep_alive: 10 * S,
+        load_window: if below(4) > 0 { 5 * S } else { 0 },
+        loads_anyway: 6.0,
+        loads_per_request: 0.3,
+        cross_zone_price: [0.0, 0.04][below(2) as usize],
+        fetch_price: 0.15,
+        memory_price: 0.0,
+        list_on_request: false,
+    }
+}
+
+/// Plays a history; `fault` is planted in the search's own tables before each event. A history with faults is not audited:
+/// the difference to the scan alone must show them.
+fn play(seed: u64, events: usize, fault: Option<&dyn Fn(&mut Router)>) -> usize {
+    let mut history = History::new(seed);
+    for n in 0..events {
+        fault.iter().for_each(|plant| plant(&mut history.search));
+        history.step();
+        if n % AUDIT_EVERY == 0 && fault.is_none() {
+            history.audit();
+        }
+    }
+    history.sent
+}
+
+/// Plays so many histories on all cores.
+fn play_all(histories: u64, events: usize) -> usize {
+    let threads = std::thread::available_parallelism().map_or(1, |n| n.get() as u64);
+    std::thread::scope(|scope| {
+        let part = |first: u64| {
+            (first..histories).step_by(threads as usize).map(|seed| play(seed, events, None)).sum::<usize>()
+        };
+        let parts: Vec<_> = (0..threads).map(|n| scope.spawn(move || part(n))).collect();
+        parts.into_iter().map(|p| p.join().expect("a history that held")).sum()
+    })
+}
+
+#[test]
+fn the_search_finds_what_a_look_at_every_worker_finds() {
+    let sent = play_all(HISTORIES, EVENTS);
+    println!("{HISTORIES} histories, {} events, {sent} sends", HISTORIES * EVENTS as u64);
+    assert!(sent > 200_000, "histories in which something is sent: {sent}");
+}
+
+fn is_found(what: &str, fault: impl Fn(&mut Router) + std::panic::RefUnwindSafe) {
+    let hook = std::panic::take_hook();
+    std::panic::set_hook(Box::new(|_| {}));
+    let found = (0..12).any(|seed| std::panic::catch_unwind(|| play(seed, 2_000, Some(&fault))).is_err());
+    std::panic::set_hook(hook);
+    assert!(found, "a planted fault was not found: {what}");
+}
+
+#[test]
+fn faults_planted_in_the_index_are_found() {
+    is_found("workers that hold a function are missing", |router| {
+        let slots: Vec<usize> = router.functions.iter().map(|(slot, _)| slot).collect();
+        for slot in slots {
+            router.functions[slot].holders.pop();
+        }
+    });
+    is_found("the order of preference is another", |router| {
+        let slots: Vec<usize> = router.functions.iter().map(|(slot, _)| slot).collect();
+        slots.into_iter().for_each(|slot| router.functions[slot].preferred.reverse());
+    });
+    is_found("nobody is said to be fast", |router| router.fleet.claim_that_all_are_slow());
+}
--- a/src/control/evidence.rs
+++ b/src/control/evidence.rs
@@ -15,7 +15,11 @@
 impl Evidence {
     /// The share of what was added that is left, `half` being the time in which half of it fades.
     fn left(&self, now: Micros, half: f64) -> f64 {
-        0.5_f64.powf(now.saturating_sub(self.at) as f64 / half)
+        // Without samples nothing is left, whatever the time; most workers are like that.
+        if self.weight == 0.0 {
+            return 0.0;
+        }
+        (-(now.saturating_sub(self.at) as f64) / half).exp2()
     }
 
     /// Adds a sample.
@@ -37,6 +41,11 @@
         (self.sum * left + doubt * expected) / (self.weight * left + doubt)
     }
 
+    /// The mean of the samples alone, however old they are; `None` without any.
+    pub fn own_mean(&self) -> Option<f64> {
+        (self.weight > 0.0).then(|| self.sum / self.weight)
+    }
+
     /// Samples that are left.
     pub fn samples(&self, now: Micros, half: f64) -> f64 {
         self.weight * self.left(now, half)
@@ -56,11 +65,6 @@
     pub fn sane(&self, most: f64) -> bool {
         self.weight >= 0.0 && self.weight.is_finite() && self.sum.abs() <= most * self.weight.max(1.0)
     }
-
-    /// When a sample was last added.
-    pub fn at(&self) -> Micros {
-        self.at
-    }
 }
 
 #[cfg(test)]
--- a/src/control/hints.rs
+++ b/src/control/hints.rs
@@ -28,6 +28,16 @@
 }
 
 impl Usual {
+    /// Its figures in half the room: the mean, and how many hints it stands for.
+    pub fn parts(&self) -> (f32, f32) {
+        (self.mean as f32, self.seen as f32)
+    }
+
+    /// What [`Usual::parts`] told.
+    pub fn of_parts((mean, seen): (f32, f32)) -> Usual {
+        Usual { mean: f64::from(mean), seen: f64::from(seen) }
+    }
+
     /// Takes one more hint into account.
     pub fn add(&mut self, work: f64) {
         self.seen = (self.seen + 1.0).min(LAST);
--- a/src/control/learned.rs
+++ b/src/control/learned.rs
@@ -1,16 +1,20 @@
 //! What a router has learned, as one process hands it to the next. Nothing is decided here.
 
+use super::preference::PreferenceRing;
 use super::tables::{Function, Mark, Pool, Worker};
 use super::{Evidence, Router};
-use crate::api::Micros;
+use crate::api::{Micros, WorkerId};
 use serde::{Deserialize, Serialize};
-use std::collections::VecDeque;
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Times and counts above this are nonsense: three hours, in microseconds.
 const MOST_FIGURE: f64 = 1e10;
 /// Copies of one function at one worker, likewise.
 const MOST_COPIES: u32 = 1_024;
 
+/// Compact records that are handed on at the most: a word to the next process must stay short.
+const MOST_DORMANT: usize = 4_096;
+
 /// What a router has learned.
 #[derive(Clone, Default, Serialize, Deserialize)]
 pub struct Learned {
@@ -92,8 +96,12 @@
             });
             told && marks && w.sent <= now
         };
+        // Danger: two entries of one name would be two slots of one worker or function.
+        let workers: HashSet<&str> = self.workers.iter().map(|w| &*w.id).collect();
+        let names: HashSet<&str> = self.functions.iter().map(|f| &*f.id).collect();
+        let once = workers.len() == self.workers.len() && names.len() == functions;
         let times = self.ration.0.iter().chain(&self.ration.1);
-        self.workers.iter().all(worker)
+        once && self.workers.iter().all(worker)
             && self.functions.iter().all(|f| f.class < classes)
             && times.into_iter().all(|t| *t <= now)
     }
@@ -102,9 +110,18 @@
 impl Router {
     /// What it has learned.
     pub fn learned(&self) -> Learned {
+        // Functions are numbered anew, without gaps: the successor puts them into slots of its own.
+        let numbers: HashMap<usize, usize> =
+            self.functions.iter().enumerate().map(|(number, (slot, _))| (slot, number)).collect();
+        let mut functions: Vec<Function> = self.functions.iter().map(|(_, f)| f.clone()).collect();
+        functions.extend(self.functions.dormant().take(MOST_DORMANT));
+        let renumbered = |w: &Worker| {
+            let marks = w.marks.iter().filter_map(|(slot, m)| Some((*numbers.get(slot)?, *m))).collect();
+            Worker { marks, ..w.clone() }
+        };
         Learned {
-            workers: self.workers.clone(),
-            functions: self.functions.clone(),
+            workers: self.workers.iter().map(renumbered).collect(),
+            functions,
             pools: self.pools.clone(),
             rates: (self.served, self.store),
             ration: (self.taken.clone(), self.ordered.clone()),
@@ -119,16 +136,26 @@
             return false;
         }
         let Learned { workers, functions, pools, rates, ration } = learned;
-        (self.workers, self.functions, self.pools) = (workers, functions, pools);
+        (self.workers, self.pools) = (workers, pools);
         ((self.served, self.store), (self.taken, self.ordered)) = (rates, ration);
-        for w in &mut self.workers {
+        for times in [&mut self.taken, &mut self.ordered] {
+            times.make_contiguous().sort_unstable();
+        }
+        let slots = self.functions.replace(now, functions);
+        for (n, w) in self.workers.iter_mut().enumerate() {
             w.open.clear();
-            w.marks.values_mut().for_each(|m| m.own = 0);
+            let marks = std::mem::take(&mut w.marks).into_iter();
+            w.marks = marks.map(|(number, m)| (slots[number], Mark { own: 0, ..m })).collect();
+            w.marks.keys().for_each(|slot| self.functions[*slot].holders.push(n as u32));
         }
-        // Ranks are made anew from the first list on.
-        self.functions.iter_mut().for_each(|f| (f.homes, f.ranked) = (Vec::new(), 0));
         self.worker_ids = self.workers.iter().enumerate().map(|(n, w)| (w.id.clone(), n)).collect();
-        self.function_ids = self.functions.iter().enumerate().map(|(n, f)| (f.id.clone(), n)).collect();
+        self.unlisted = (0..self.workers.len()).filter(|n| !self.workers[*n].listed).collect();
+        let all: Vec<(usize, WorkerId)> =
+            self.workers.iter().enumerate().map(|(n, w)| (n, w.id.clone())).collect();
+        self.ring = PreferenceRing::default();
+        self.ring.change(&[], &all);
+        self.choose_order();
+        self.rebuild();
         true
     }
 }
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -67,9 +67,17 @@
     pub(super) seen: Evidence,
     /// Whether it was found loaded at homes where this router did not know.
     pub(super) found: Evidence,
-    /// All workers up, the first ranks first, and the list that they were ranked by.
-    pub(super) homes: Vec<usize>,
-    pub(super) ranked: u64,
+    /// The first of the workers that all dispatchers prefer for it, and the version of the ring that they are from.
+    #[serde(skip)]
+    pub(super) preferred: Vec<u32>,
+    #[serde(skip)]
+    pub(super) preferred_version: u64,
+    /// Workers that hold a mark of it.
+    #[serde(skip)]
+    pub(super) holders: Vec<u32>,
+    /// Requests for it that are under way.
+    #[serde(skip)]
+    pub(super) in_flight: u32,
     /// Requests for it that ran or waited at all its homes together, by the notes on answers.
     pub(super) crowd: Evidence,
 }
@@ -151,3 +159,16 @@
     worker.as_bytes().hash(&mut hasher);
     hasher.finish()
 }
+
+/// What a worker holds of a function; nothing as yet, where nothing was known.
+pub(super) fn mark<'a>(
+    worker: &'a mut Worker,
+    slot: usize,
+    function: &mut Function,
+    number: usize,
+) -> &'a mut Mark {
+    worker.marks.entry(number).or_insert_with(|| {
+        function.holders.push(slot as u32);
+        Mark::default()
+    })
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -294,6 +294,11 @@
         self.timers.due()
     }
 
+    /// From now on the module may keep functions in so many bytes.
+    pub fn bound_functions(&mut self, bytes: usize) {
+        self.router.bound_functions(bytes);
+    }
+
     /// Tells the module the list of workers; who is absent is gone.
     pub fn list(&mut self, now: Micros, entries: Vec<Listing>) {
         self.tell(now, Event::Workers { complete: true, entries });
--- a/src/names/check.rs
+++ b/src/names/check.rs
@@ -5,7 +5,7 @@
 //! empty list is believed once the name service has said so for `EMPTY_HOLD_US`: PROTOCOL, 'The name service', counts
 //! an event as told at the latest 1.5 s after it happened, so a service that really has no executors says so by then.
 
-use super::Executor;
+use super::{Executor, MOST_EXECUTORS, MOST_ID_BYTES};
 use crate::api::WorkerId;
 use std::collections::{HashMap, HashSet};
 use std::fmt;
@@ -23,6 +23,10 @@
     Empty,
     /// One id at two addresses.
     TwoAddresses(WorkerId, SocketAddr, SocketAddr),
+    /// More entries than a list may have.
+    TooMany(usize),
+    /// An id of so many bytes, more than one may have.
+    LongId(usize),
 }
 
 impl fmt::Display for Doubt {
@@ -31,6 +35,18 @@
             Doubt::Unreadable(why) => write!(f, "an answer that can't be used: {why}"),
             Doubt::Empty => write!(f, "an empty list, while executors were listed"),
             Doubt::TwoAddresses(id, a, b) => write!(f, "executor {id} at two addresses, {a} and {b}"),
+            Doubt::TooMany(count) => {
+                write!(
+                    f,
+                    "{count} executors, {MOST_EXECUTORS} at the most: split the fleet into several services"
+                )
+            }
+            Doubt::LongId(bytes) => {
+                write!(
+                    f,
+                    "an executor's id of {bytes} bytes, {MOST_ID_BYTES} at the most: see who registered it"
+                )
+            }
         }
     }
 }
@@ -64,6 +80,12 @@
 impl Checker {
     /// Judges a readable list that is newer than the one held; `held` is how many executors that one names.
     pub fn judge(&mut self, now: u64, mut executors: Vec<Executor>, held: usize) -> Verdict {
+        if executors.len() > MOST_EXECUTORS {
+            return self.refuse(Doubt::TooMany(executors.len()));
+        }
+        if let Some(long) = executors.iter().map(|e| e.id.len()).find(|bytes| *bytes > MOST_ID_BYTES) {
+            return self.refuse(Doubt::LongId(long));
+        }
         if executors.is_empty() && held > 0 {
             let since = *self.empty_since.get_or_insert(now);
             if now.saturating_sub(since) < EMPTY_HOLD_US {
--- a/src/names/check/tests.rs
+++ b/src/names/check/tests.rs
@@ -68,3 +68,19 @@
     let (ids, merged) = taken(Checker::default().judge(0, list, 36));
     assert_eq!((ids.len(), merged, ids[0].as_str(), ids[599].as_str()), (600, 0, "n000", "n599"));
 }
+
+#[test]
+fn a_list_of_a_million_entries_and_an_id_of_64_kb_are_refused_with_what_to_do() {
+    let mut checker = Checker::default();
+    let many = (0..1_000_000).map(|n| executor(&format!("s{n}"), 1)).collect();
+    let long = vec![executor(&"x".repeat(64 << 10), 1)];
+    for (list, doubt) in [(many, Doubt::TooMany(1_000_000)), (long, Doubt::LongId(64 << 10))] {
+        let Verdict::Refuse { doubt: told, first: true } = checker.judge(10, list, 3) else {
+            panic!("taken");
+        };
+        assert_eq!(told, doubt);
+        assert!(told.to_string().contains(": "), "{told}");
+    }
+    // The list held stands, and the next good one is taken.
+    assert_eq!(taken(checker.judge(20, vec![executor("a", 1)], 3)), (vec!["a".to_string()], 0));
+}
--- a/src/names/list.rs
+++ b/src/names/list.rs
@@ -4,6 +4,11 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// Executors that a list may name: four times as many as any fleet in view has.
+pub const MOST_EXECUTORS: usize = 65_536;
+/// Bytes of an executor's id: more than a label of DNS can have.
+pub const MOST_ID_BYTES: usize = 255;
+
 /// What the list says of an executor. One that is absent is gone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
--- a/src/names/mod.rs
+++ b/src/names/mod.rs
@@ -6,5 +6,5 @@
 mod resolver;
 
 pub use check::{Checker, Doubt, EMPTY_HOLD_US, Verdict};
-pub use list::{Executor, State, Vocabulary};
+pub use list::{Executor, MOST_EXECUTORS, MOST_ID_BYTES, State, Vocabulary};
 pub use resolver::Resolver;
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -2,6 +2,7 @@
 
 use super::jobs::MARGIN;
 use crate::config::{Config, Settings};
+use crate::control::USUAL_FUNCTION_BYTES;
 use crate::core::Bounds;
 use crate::executor;
 use crate::front::thrift;
@@ -17,6 +18,13 @@
     given.and_then(|g| usize::try_from(g).ok()).map_or(told, |g| g.min(told))
 }
 
+/// Bytes that functions may take in the module: what the operator says, or three eighths of the limit on memory; bodies,
+/// answers that are half read and answers that are not taken have the rest. Two processes have half of it each.
+pub(super) fn function_bytes(config: &Config, told: Option<usize>, shared: bool) -> usize {
+    let memory = config.parts.resources.memory;
+    told.unwrap_or((memory / 8 * 3).min(USUAL_FUNCTION_BYTES)) / if shared { 2 } else { 1 }
+}
+
 /// What bounds the parts, derived from the configuration; two processes have half of it each. The last is the number
 /// of operators that may call at a time.
 pub(super) fn limits(
--- a/src/peers/starting.rs
+++ b/src/peers/starting.rs
@@ -5,7 +5,7 @@
 //! judged, so that no peer can keep the real list out.
 
 use crate::api::Micros;
-use crate::names::Executor;
+use crate::names::{Executor, MOST_EXECUTORS, MOST_ID_BYTES};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -21,8 +21,6 @@
 const ANEW: Micros = 3_000_000;
 /// A list that its giver has not heard confirmed for longer is not taken.
 const OLD: Micros = 600_000_000;
-/// Executors in a list at the most.
-const MOST_LISTED: usize = 16_384;
 
 /// What a peer knows of the list.
 #[derive(Clone, Debug, PartialEq)]
@@ -65,10 +63,11 @@
     pub fn offered(&mut self, now: Micros, mut offer: Offer) -> bool {
         self.open.remove(&offer.from);
         let mut ids = BTreeSet::new();
+        let named = |e: &Executor| (1..=MOST_ID_BYTES).contains(&e.id.len());
         let sound = !offer.executors.is_empty()
-            && offer.executors.len() <= MOST_LISTED
+            && offer.executors.len() <= MOST_EXECUTORS
             && offer.age <= OLD
-            && offer.executors.iter().all(|e| !e.id.is_empty() && ids.insert(e.id.clone()));
+            && offer.executors.iter().all(|e| named(e) && ids.insert(e.id.clone()));
         if !sound {
             self.refused += 1;
             return false;
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -827,6 +827,8 @@
 fn a_long_day_keeps_every_table_bounded() {
     use ochreward::control::Sizes;
     let mut bed = Bed::new(settings(), 45, 36);
+    const FUNCTION_BYTES: usize = 768 << 10;
+    bed.router.bound_functions(FUNCTION_BYTES);
     let (mut generation, mut most_early, mut most_late) = (0, Sizes::default(), Sizes::default());
     let end = 45 * 60 * S;
     let mut n = 0usize;
@@ -851,6 +853,10 @@
         *most = Sizes {
             workers: most.workers.max(sizes.workers),
             functions: most.functions.max(sizes.functions),
+            dormant: most.dormant.max(sizes.dormant),
+            function_bytes: most.function_bytes.max(sizes.function_bytes),
+            ring_bytes: most.ring_bytes.max(sizes.ring_bytes),
+            renewals: most.renewals.max(sizes.renewals),
             requests: most.requests.max(sizes.requests),
             marks: most.marks.max(sizes.marks),
             open: most.open.max(sizes.open),
@@ -862,6 +868,7 @@
     // Workers gone give their places up once nothing of theirs is owed: at most a few replacements are kept.
     assert!(most_late.workers <= 36 + 3 * 12, "{most_late:?}");
     assert!(most_late.functions <= 1_024, "{most_late:?}");
+    assert!(most_late.function_bytes <= FUNCTION_BYTES, "{most_late:?}");
     // Each request ended in its turn: nothing is left under way.
     assert!(most_late.requests <= 2 && most_late.open <= 2, "{most_late:?}");
     assert!(most_late.marks <= most_late.workers * 1_024, "{most_late:?}");
@@ -871,6 +878,11 @@
         "{most_late:?}"
     );
     assert!(most_late.marks <= most_early.marks && most_late.window <= most_early.window, "{most_late:?}");
+    assert!(
+        most_late.dormant <= most_early.dormant && most_late.renewals <= most_early.renewals,
+        "{most_late:?}"
+    );
+    assert!(most_late.ring_bytes <= most_early.ring_bytes, "{most_late:?}");
 }
 
 // ---- What another deployment's settings tell ----
--- a/tests/schema.rs
+++ b/tests/schema.rs
@@ -112,6 +112,8 @@
         "[overload]\nresends = 1",
         "[zones]\nstay = 1",
         "[zones]\nsilent_ms = 0",
+        "[routing]\nfunction_memory_mb = 0",
+        "[routing]\nfunctions = 1",
         "[overload]\nfloor_percent = 101",
         "[agnet]\nlisten = \"127.0.0.1:1\"",
         "[agent]\nlisten = \"127.0.0.1:1\"\ncheck_every_ms = 1",
@@ -130,6 +132,18 @@
     }
 }
 
+#[test]
+fn no_memory_for_functions_is_a_fault_that_names_its_key() {
+    let Faults(faults) = Operator::read("[routing]\nfunction_memory_mb = 0").expect_err("a fault");
+    assert_eq!(faults[0].key, "routing.function_memory_mb");
+    assert_eq!(faults[0].why, "must be between 1 and 65536");
+    assert_eq!(
+        Operator::read("[routing]\nfunction_memory_mb = 2").expect("good").function_bytes,
+        Some(2 << 20)
+    );
+    assert_eq!(Operator::read("").expect("good").function_bytes, None);
+}
+
 #[test]
 fn versions_pass_and_fail_in_both() {
     let schema = version::schema();
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -17,6 +17,6 @@
     let mut config = Config::read(include_str!("../deploy/example.json")).expect("the shipped example");
     // The listening socket is none, so that the program goes no further than to where it would listen.
     config.inherited = Some(999);
-    assert!(Node::new(config, Vec::new(), None, None, (None, None, None)).is_err());
+    assert!(Node::new(config, Vec::new(), None, None, (None, None, None), None).is_err());
     assert_eq!(handled() & stop, stop, "a stop from here on settles who waits at the listener");
 }
--- a/tests/sockets/thrift.rs
+++ b/tests/sockets/thrift.rs
@@ -1,7 +1,7 @@
 //! The platform's front: one test a promise of the protocol, or a failure that was found or foreseen.
 
 use crate::stand::{
-    Client, Executor, Names, PATIENCE, Program, Reply, call, config, fields, message, until_counted,
+    Client, Executor, Names, PATIENCE, Program, Reply, call, config, fields, message, until, until_counted,
 };
 use crate::{hung, id};
 use serde_json::{Value, json};
@@ -382,6 +382,34 @@
     assert_eq!((code, counters["reloads"], counters["reloads_refused"]), (Some(0), 1, 1));
 }
 
+#[test]
+fn a_list_out_of_bounds_is_refused_whole_and_harms_no_request() {
+    let (executor, names) = (Executor::start(), Names::start());
+    let good = config(&[&executor], &names);
+    let program = Program::start(&good);
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("flow-read", &id(1), LONG), b"");
+    let mut held = executor.next();
+    let entry = |id: String| {
+        json!({"instanceId": id, "hostPort": "127.0.0.1:1", "zone": "a", "machineType": "std", "cell": 0,
+               "lifecycle": "in_service", "startedAtMs": 0})
+    };
+    let long = vec![entry("x".repeat(64 << 10))];
+    let many = (0..100_000).map(|n| entry(format!("x{n}"))).collect();
+    for (n, list) in [long, many].into_iter().enumerate() {
+        let mut config = good.clone();
+        config["known"]["batch"][0]["topology"]["instances"] = json!(list);
+        std::fs::write(&program.path, config.to_string()).expect("written");
+        program.signal(rustix::process::Signal::HUP);
+        until("the faulty file is never read", || program.counters()["reloads_refused"] > n as u64);
+    }
+    held.ok(b"held");
+    assert_eq!(client.receive(), Some((1, Reply::Served(b"held".to_vec()))));
+    client.serve(2, &fields("flow-read", &id(2), LONG), b"");
+    executor.next().ok(b"served");
+    assert_eq!(client.receive(), Some((2, Reply::Served(b"served".to_vec()))));
+}
+
 #[test]
 fn what_breaks_the_protocol_is_answered_and_goes_to_no_executor() {
     let (program, executor, _names, mut client) = bed();
