--- a/src/control/preference.rs
+++ b/src/control/preference.rs
@@ -77,6 +77,8 @@
             let arc = self.arc(point.at);
             if let Ok(index) = self.arcs[arc].binary_search(&point) {
                 self.arcs[arc].remove(index);
+                // Workers that are replaced all day must not leave each arc as large as it ever was.
+                self.arcs[arc].shrink_to(2 * POINTS_AN_ARC);
             }
         }
         for point in new.iter().flat_map(points) {
