What a process has used is read in one place of the rig

Seen on a second reading: benches/scale/real.rs wrote again the reading of processor time that benches/membership.rs had, and benches/routing.rs the reading of memory; a loop in real.rs bound a name only to drop it. Ruled out: benches/stations.rs, whose reading panics where the process is gone, which is another behaviour. Change: crates/rig/src/process.rs, called by all three; nothing is measured otherwise.

--- a/benches/membership.rs
+++ b/benches/membership.rs
@@ -7,6 +7,7 @@
 use hdrhistogram::Histogram;
 use ochreward_membership::{Claim, Event, Membership, Micros, Own, Record, Settings, State};
 use ochreward_rig::fleet::{Fleet, sees};
+use ochreward_rig::process::used;
 use ochreward_rig::stand::{Client, Program, Reply, fields};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -233,12 +234,6 @@
     (one, other, ratios[ratios.len() / 2])
 }
 
-/// Processor time that a process has used, in nanoseconds.
-fn used(pid: u32) -> u64 {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).unwrap_or_default();
-    text.split(' ').next().and_then(|n| n.parse().ok()).unwrap_or_default()
-}
-
 fn main() {
     // Cargo passes words of its own.
     let mut missed = Vec::new();
--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -6,6 +6,7 @@
 
 use hdrhistogram::Histogram;
 use ochreward::*;
+use ochreward_rig::process;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::collections::VecDeque;
@@ -160,11 +161,9 @@
     }
 }
 
-/// Resident memory, in bytes.
+/// Resident memory of this process, in bytes.
 fn resident() -> f64 {
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages: f64 = text.split(' ').nth(1).and_then(|n| n.parse().ok()).unwrap_or_default();
-    pages * rustix::param::page_size() as f64
+    process::resident(std::process::id()) as f64
 }
 
 /// The time of a change of one worker, of a zone, and of a whole list, in milliseconds; the worst of some.
--- a/benches/scale/main.rs
+++ b/benches/scale/main.rs
@@ -13,6 +13,7 @@
 use hollow::{Answer, Ask, Handle, Setup};
 use ochreward_control::admin::Ask as ServiceAsk;
 use ochreward_rig::capacity::{Figure, Report, Size, Storm};
+use ochreward_rig::process;
 use ochreward_rig::stand::{self, Names, Program};
 use real::{Ground, PARTS, Part, Real, ZONES};
 use std::collections::BTreeMap;
@@ -229,14 +230,14 @@
     let counters: Vec<BTreeMap<String, u64>> = group.real.iter().map(Real::counters).collect();
     let service = group.ground.service.child.id();
     let before: Vec<u64> = group.real.iter().map(Real::used).collect();
-    let service_before = real::used(service);
+    let service_before = process::used(service);
     let hollow_before = group.sent();
     std::thread::sleep(window);
     let seconds = window.as_secs_f64();
     let share =
         |after: u64, before: u64| after.saturating_sub(before) as f64 / window.as_nanos() as f64 * 100.0;
     let used: Vec<f64> = group.real.iter().zip(&before).map(|(r, b)| share(r.used(), *b)).collect();
-    let service_used = share(real::used(service), service_before);
+    let service_used = share(process::used(service), service_before);
     let after: Vec<BTreeMap<String, u64>> = group.real.iter().map(Real::counters).collect();
     let of = |part: Part| PARTS.iter().position(|p| *p == part).unwrap_or_default();
     let rate = |part: Part, name: &str| {
@@ -254,7 +255,7 @@
     for (name, part, without) in parts {
         let less = without.map_or(0.0, |w| used[of(w)]);
         put(figures, format!("processor_{name}"), (used[of(part)] - less).max(0.0), "% of a core");
-        let memory = |part: Part| real::resident(group.real[of(part)].program.child.id()) as f64 / 1e6;
+        let memory = |part: Part| process::resident(group.real[of(part)].program.child.id()) as f64 / 1e6;
         let less = without.map_or(0.0, memory);
         put(figures, format!("memory_{name}"), (memory(part) - less).max(0.0), "MB");
     }
@@ -281,7 +282,7 @@
     put(figures, "hollow_bytes_out", hollow[1], "bytes a second and member");
     put(figures, "hollow_zone_report_bytes_out", hollow[2], "bytes a second and member");
     put(figures, "service_processor", service_used, "% of a core");
-    put(figures, "service_memory", real::resident(service) as f64 / 1e6, "MB");
+    put(figures, "service_memory", process::resident(service) as f64 / 1e6, "MB");
     group.rest(false);
 }
 
@@ -436,7 +437,7 @@
 fn storm_changes(group: &mut Group) -> Option<Figures> {
     let mut figures = Figures::new();
     let (meter, service) = (Meter::start(group), group.ground.service.child.id());
-    let before = real::used(service);
+    let before = process::used(service);
     let subscribers: usize = group.hollow.iter().map(|h| h.setup.members).sum();
     group.ran();
     let (began, mut last) = (Instant::now(), 0);
@@ -457,7 +458,7 @@
     }
     let mut after: Vec<f64> = ran.iter().filter(|t| **t >= last).map(|t| (t - last) as f64 / 1e3).collect();
     put(&mut figures, "last_in_force_p99", quantile(&mut after, 0.99), "ms");
-    put(&mut figures, "service_processor", (real::used(service) - before) as f64 / 1e6, "ms in all");
+    put(&mut figures, "service_processor", (process::used(service) - before) as f64 / 1e6, "ms in all");
     meter.read(group, &mut figures);
     Some(figures)
 }
--- a/benches/scale/real.rs
+++ b/benches/scale/real.rs
@@ -2,6 +2,7 @@
 //! costs is the difference between two of them.
 
 use ochreward_rig::load::{Asker, Manner};
+use ochreward_rig::process;
 use ochreward_rig::stand::{self, Names, Program};
 use ochreward_rig::worker::{Power, Worker};
 use serde_json::{Value, json};
@@ -124,7 +125,7 @@
 
     /// Processor time used, in nanoseconds.
     pub fn used(&self) -> u64 {
-        used(self.program.child.id())
+        process::used(self.program.child.id())
     }
 
     /// One of its counters.
@@ -137,11 +138,10 @@
     let shared = operator(group, zone, seeds);
     let mut text = String::new();
     let sections = [("[peers]", Part::Membership), ("[overload]", Part::Budgets), ("[zones]", Part::Zones)];
-    for (section, of) in sections.into_iter().filter(|(_, of)| part.has(*of)) {
+    for (section, _) in sections.into_iter().filter(|(_, of)| part.has(*of)) {
         let from = shared.find(section).expect("a section");
         let rest = &shared[from..];
         let end = rest[1..].find("\n[").map_or(rest.len(), |at| at + 2);
-        let _ = of;
         text.push_str(&rest[..end]);
     }
     if part.has(Part::Configuration) {
@@ -154,19 +154,6 @@
     text
 }
 
-/// Processor time that a process has used, in nanoseconds.
-pub fn used(pid: u32) -> u64 {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).unwrap_or_default();
-    text.split(' ').next().and_then(|n| n.parse().ok()).unwrap_or_default()
-}
-
-/// Resident memory of a process, in bytes.
-pub fn resident(pid: u32) -> u64 {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/statm")).unwrap_or_default();
-    let pages: u64 = text.split(' ').nth(1).and_then(|n| n.parse().ok()).unwrap_or_default();
-    pages * rustix::param::page_size() as u64
-}
-
 /// The answer of the control service to a question.
 pub fn ask_service(
     address: SocketAddr,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod history;
 pub mod load;
+pub mod process;
 pub mod relay;
 #[allow(missing_docs)]
 pub mod stand;
