Lists of the name service are logged with number, query's age, size; lower numbers counted

Now an event each for the list of the start, a list with a higher number, one with a lower number (new counter lists_lower) and a new socket with its port; doubts tell the answer's size. No decision changes.

--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -71,6 +71,7 @@
     lists_refused: "Answers of the name service whose list was not believed: unreadable, cut off, empty at once, or an id at two addresses.",
     lists_merged: "Entries of lists that repeated another exactly and were dropped.",
     lists_stale: "Answers of the name service with a list no newer than the one held.",
+    lists_lower: "Of these, answers with a lower number than the list held.",
     mqtt_connects: "Connections begun to the MQTT broker.",
     mqtt_messages: "MQTT messages received.",
     mqtt_duplicates: "MQTT messages that had been answered before.",
--- a/src/names/resolver.rs
+++ b/src/names/resolver.rs
@@ -1,8 +1,8 @@
 //! Asks the name service for the list, over and over.
 
-use super::Executor;
 use super::check::{Checker, Verdict};
 use super::dns::{self, MOST_ANSWER};
+use super::{Executor, State};
 use crate::counters::{Counters, add, count};
 use crate::net::{Interest, Poll};
 use rustix::net::{AddressFamily, RecvFlags, SendFlags, SocketFlags, SocketType};
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::rc::Rc;
-use tracing::warn;
+use tracing::{info, warn};
 
 /// A query goes out this often, whether the last was answered or not: so a lost one is replaced.
 const EVERY: u64 = 100_000;
@@ -28,7 +28,8 @@
     server: SocketAddr,
     service: String,
     next_id: u16,
-    open: VecDeque<u16>,
+    /// Ids of queries whose answers are awaited, and when each was sent.
+    open: VecDeque<(u16, u64)>,
     at: u64,
     /// Since when nothing has come on the socket.
     silent: Option<u64>,
@@ -51,6 +52,7 @@
         let service = service.to_string();
         let (next_id, open, at, silent) = (seed as u16, VecDeque::new(), 0, None);
         let checker = Checker::default();
+        info!(serial, port = local_port(&fd), "the list of the start is in use");
         Ok(Resolver { fd, owner, server, service, next_id, open, at, silent, serial, checker, counters })
     }
 
@@ -95,6 +97,11 @@
             self.silent = Some(now);
             // Where no descriptor is left the old one stays: that it is silent does not tell that it is lost.
             if let Ok(fd) = socket(poll, self.owner, self.server) {
+                info!(
+                    serial = self.serial,
+                    port = local_port(&fd),
+                    "nothing came for a while: a new socket to the name service"
+                );
                 self.fd = fd;
                 count(&self.counters.dns_reopened);
             }
@@ -105,7 +112,7 @@
         if rustix::net::send(&self.fd, &query, SendFlags::NOSIGNAL).is_ok() {
             count(&self.counters.dns_queries);
             add(&self.counters.dns_sent_bytes, query.len());
-            self.open.push_back(self.next_id);
+            self.open.push_back((self.next_id, now));
             if self.open.len() > OPEN {
                 self.open.pop_front();
             }
@@ -128,7 +135,8 @@
             add(&self.counters.dns_received_bytes, size);
             // Danger: a forged, late or doubled packet. Only an id that is out counts, and only once.
             let message = buffer.get(..size).unwrap_or_default();
-            let Some(place) = dns::id(message).and_then(|id| self.open.iter().position(|o| *o == id)) else {
+            let Some(place) = dns::id(message).and_then(|id| self.open.iter().position(|(o, _)| *o == id))
+            else {
                 count(&self.counters.dns_dropped);
                 continue;
             };
@@ -137,14 +145,33 @@
                 Err(bad) => self.checker.unreadable(bad.0),
                 // Packets overtake each other: an older list must not undo a newer one.
                 Ok(answer) if u64::from(answer.serial) <= self.serial => {
-                    self.open.remove(place);
+                    let asked_ms = self.open.remove(place).map_or(0, |(_, sent)| (now - sent) / 1_000);
                     count(&self.counters.dns_answers);
                     count(&self.counters.lists_stale);
+                    if u64::from(answer.serial) < self.serial {
+                        count(&self.counters.lists_lower);
+                        let (serial, held) = (answer.serial, self.serial);
+                        info!(
+                            serial,
+                            held, asked_ms, "a list with a lower number than the one in use is dropped"
+                        );
+                    }
                     continue;
                 }
                 Ok(answer) => {
-                    self.open.remove(place);
+                    let asked_ms = self.open.remove(place).map_or(0, |(_, sent)| (now - sent) / 1_000);
                     count(&self.counters.dns_answers);
+                    let draining = answer.executors.iter().filter(|e| e.state == State::Draining).count();
+                    let (serial, before, listed) = (answer.serial, self.serial, answer.executors.len());
+                    info!(
+                        serial,
+                        held,
+                        asked_ms,
+                        bytes = size,
+                        listed,
+                        draining,
+                        "a list with a higher number came"
+                    );
                     let held = news.as_ref().map_or(held, Vec::len);
                     let verdict = self.checker.judge(now, answer.executors, held);
                     if matches!(verdict, Verdict::Take { .. }) {
@@ -161,7 +188,7 @@
                 Verdict::Refuse { doubt, first } => {
                     count(&self.counters.lists_refused);
                     if first {
-                        warn!(serial = self.serial, %doubt, "the last good list of executors stays in use");
+                        warn!(serial = self.serial, bytes = size, %doubt, "the last good list of executors stays in use");
                     }
                 }
             }
@@ -169,6 +196,12 @@
     }
 }
 
+/// The port that answers come to; 0 if the system does not tell.
+fn local_port(fd: &OwnedFd) -> u16 {
+    let address = rustix::net::getsockname(fd).ok().and_then(|a| SocketAddr::try_from(a).ok());
+    address.map_or(0, |a| a.port())
+}
+
 /// A socket that speaks with this server alone.
 fn socket(poll: &mut Poll, owner: u8, server: SocketAddr) -> io::Result<OwnedFd> {
     let family = if server.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
