--- a/crates/rig/src/stand.rs
+++ b/crates/rig/src/stand.rs
@@ -14,7 +14,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Far longer than anything here takes: only a failure waits for it.
 pub const PATIENCE: Duration = Duration::from_secs(30);
@@ -453,6 +453,10 @@
     pub spoilt_first: Arc<AtomicBool>,
     heard: Arc<Mutex<BTreeSet<SocketAddr>>>,
     deaf: Arc<Mutex<BTreeSet<SocketAddr>>>,
+    /// How long each answer travels, in milliseconds.
+    pub travel_ms: Arc<AtomicU32>,
+    /// When an answer with each number was first sent.
+    first_sent: Arc<Mutex<BTreeMap<u32, Instant>>>,
 }
 
 impl Names {
@@ -465,6 +469,10 @@
         let (heard, deaf) =
             (Arc::<Mutex<BTreeSet<SocketAddr>>>::default(), Arc::<Mutex<BTreeSet<SocketAddr>>>::default());
         let (hears, ignores) = (heard.clone(), deaf.clone());
+        let first_sent = Arc::<Mutex<BTreeMap<u32, Instant>>>::default();
+        let sent = first_sent.clone();
+        let travel_ms = Arc::new(AtomicU32::new(0));
+        let travel = travel_ms.clone();
         std::thread::spawn(move || {
             let mut query = [0; 512];
             while let Ok((size, from)) = socket.recv_from(&mut query) {
@@ -485,10 +493,20 @@
                 if spoil.load(Ordering::SeqCst) {
                     let _ = socket.send_to(&good[..good.len() / 2], from);
                 }
-                let _ = socket.send_to(&good, from);
+                sent.lock().expect("what was sent").entry(serial).or_insert_with(Instant::now);
+                let travels = Duration::from_millis(u64::from(travel.load(Ordering::SeqCst)));
+                if travels.is_zero() {
+                    let _ = socket.send_to(&good, from);
+                } else {
+                    let socket = socket.try_clone().expect("the socket");
+                    std::thread::spawn(move || {
+                        std::thread::sleep(travels);
+                        let _ = socket.send_to(&good, from);
+                    });
+                }
             }
         });
-        Names { address, list, nonsense, spoilt_first, heard, deaf }
+        Names { address, list, nonsense, spoilt_first, heard, deaf, travel_ms, first_sent }
     }
 
     /// From here on says nothing to any address that has asked so far: those paths have fallen silent.
@@ -497,6 +515,13 @@
         self.deaf.lock().expect("who is ignored").extend(heard);
     }
 
+    /// When an answer with this number was first sent; waits until one is.
+    pub fn sent(&self, serial: u32) -> Instant {
+        let first = || self.first_sent.lock().expect("what was sent").get(&serial).copied();
+        until("no answer with that number is sent", || first().is_some());
+        first().expect("it was sent")
+    }
+
     /// Sets the whole list.
     pub fn set(&self, serial: u32, list: &[(&str, SocketAddr, u16)]) {
         let list = list.iter().map(|(id, a, p)| (id.to_string(), *a, *p)).collect();
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod broker;
 mod crossings;
 mod deployments;
+mod discovery;
 mod mqtt;
 mod operators;
 mod stations;
