Drains are believed from any list, readiness confirmed; numbers order one numbering only

Cause: src/names/resolver.rs, ready(): 'serial <= self.serial' dropped an answer whole, whatever it said and whenever it was asked for; told() took numbers of a configuration file and a predecessor into the same order. The class: an order by numbers that come from more than one numbering, and a drain that is only heard where all else of its list is believed.

Change: src/names/tracker.rs decides which list is in use (no I/O): a drain counts from any list, doubted, cut off or under a lower number; a worker that is new or was drained is used once further answers agree; a lower number replaces the list once three answers asked for later keep to it for 0.3 s; lists of other origin stand until the service speaks and then tell only drains. src/names/channel.rs keeps old sockets for as long as answers may come (2.5 s, five at the most), src/names/stream.rs asks over TCP where an answer says that it is cut off, schedule.rs asks large lists less often (to 1.2 s) and for confirmation at once, 65,535 bytes are read. The loop reads the name service first, and Pool::hold_if_list_is_old, which all writes to workers pass, lets nothing out 50 ms after that was last done. The list's age is a counter and an event.

Tests: tests/sockets/discovery.rs (8, on the real program), tracker (13, one over 2,000 drawn schedules), schedule, pool. The test of late answers connects its client when it asks: one that says nothing for 2.5 s is closed, as always.

--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -46,6 +46,7 @@
     token: Token,
     interest: Interest,
     connecting: bool,
+    held: bool,
     input: Ring,
     output: Ring,
     /// The peer will send no more.
@@ -72,6 +73,11 @@
         self.connecting
     }
 
+    /// Has writes wait, or no longer wait. What waits is written by a later [`Link::flush`], or once the descriptor is ready.
+    pub fn hold(&mut self, held: bool) {
+        self.held = held;
+    }
+
     /// The token it is registered under.
     pub fn token(&self) -> Token {
         self.token
@@ -132,7 +138,7 @@
     }
 
     fn flush(&mut self) -> Result<(), Closed> {
-        while !self.connecting && !self.output.is_empty() {
+        while !self.connecting && !self.held && !self.output.is_empty() {
             match rustix::net::send(&self.fd, self.output.front(), SendFlags::NOSIGNAL) {
                 Ok(count) => {
                     self.output.consume(count);
@@ -275,6 +281,7 @@
             token,
             interest,
             connecting,
+            held: false,
             input,
             output,
             ended: false,
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -141,7 +141,7 @@
 }
 
 /// A port for datagrams and one for connections, of the same number.
-fn both() -> (UdpSocket, TcpListener) {
+pub(crate) fn both() -> (UdpSocket, TcpListener) {
     loop {
         let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
         if let Ok(listener) = TcpListener::bind(socket.local_addr().expect("an address")) {
--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// A connection idle for longer than the executors' limit less this is not used: they may be closing it. A short
 /// limit is cut by a quarter at the most.
@@ -32,6 +33,11 @@
 /// Entries given up whose answers may still cross the halt; a connection with more of them is used up.
 const MOST_HALTED: usize = 4_096;
 
+/// Nothing is written to an executor this long after the answers of the name service were last read, until they are read
+/// again: the process may have been stopped, or a call of the system may have taken long, and an answer that came meanwhile may
+/// tell of a drain. A turn of the loop takes far less.
+const LIST_READ_MOST: Duration = Duration::from_millis(50);
+
 /// What bounds the pool.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -95,6 +101,8 @@
     answers: Vec<Answer>,
     /// Bytes of answers that are half read.
     unread: usize,
+    /// When the answers of the name service that had come were last read.
+    list_read_at: Instant,
     counters: Rc<Counters>,
     /// What has come to its end, in order.
     pub reports: Vec<Report>,
@@ -113,6 +121,7 @@
             attempts: BTreeMap::new(),
             answers: Vec::new(),
             unread: 0,
+            list_read_at: Instant::now(),
             counters,
             reports: Vec::new(),
             sightings: Vec::new(),
@@ -138,6 +147,21 @@
         true
     }
 
+    /// All answers of the name service that had come by now are read before anything else is done.
+    pub fn list_was_read(&mut self) {
+        self.list_read_at = Instant::now();
+    }
+
+    /// Decides for every write to an executor whether it may go out now: all of them pass here. What may not stays queued, and
+    /// is withdrawn if the answers that are read next tell that its executor drains.
+    fn hold_if_list_is_old(list_read_at: Instant, link: &mut Link<Peer>, counters: &Counters) {
+        let hold = link.io.unsent() > 0 && list_read_at.elapsed() > LIST_READ_MOST;
+        if hold {
+            count(&counters.writes_held);
+        }
+        link.io.hold(hold);
+    }
+
     /// Takes the whole list. What is still queued for an executor that drains or is gone is withdrawn.
     pub fn list(&mut self, executors: &[Executor]) {
         let new = executors.iter().map(|e| (e.id.clone(), (e.address, e.state))).collect();
@@ -354,6 +378,7 @@
         let Some(link) = self.links.get_mut(slot) else { return };
         link.peer.used = now;
         Self::renew_waits(link, now);
+        Self::hold_if_list_is_old(self.list_read_at, link, &self.counters);
         if link.flush(poll).is_err() {
             // Danger: an answer may have come before the reset that broke the send, and not have been read. The
             // connection takes nothing new; its end is an event of its own, which reads first.
@@ -384,6 +409,7 @@
         let mut answers = std::mem::take(&mut self.answers);
         let before = link.io.unread();
         Self::renew_waits(link, now);
+        Self::hold_if_list_is_old(self.list_read_at, link, &self.counters);
         let result = link.ready(poll, ready, &mut answers);
         self.unread = self.unread + link.io.unread() - before;
         if ready.read {
@@ -524,3 +550,6 @@
         self.links.iter().map(of).min()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/names/dns.rs
+++ b/src/names/dns.rs
@@ -1,17 +1,20 @@
 //! DNS messages (RFC 1035): writes the one query, reads the answers with every length and pointer bounded.
 
 use super::{Executor, State};
+use crate::api::WorkerId;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 
-/// The largest answer read.
-pub const MOST_ANSWER: usize = 8_192;
+/// The largest answer read, in bytes: what a datagram, and a message over TCP, may hold (RFC 1035, 4.2).
+pub const MOST_ANSWER: usize = 65_535;
 /// Jumps that a compressed name may take.
 const MOST_JUMPS: usize = 32;
 /// The longest name, in bytes.
 const MOST_NAME: usize = 255;
-/// Records read of one answer.
-const MOST_RECORDS: usize = 4_096;
+/// The smallest record, in bytes: a root name, kind, class, time to live and the size of no data.
+const LEAST_RECORD: usize = 11;
+/// Records read of one answer: as many as the largest can hold.
+const MOST_RECORDS: usize = MOST_ANSWER / LEAST_RECORD;
 
 const A: u16 = 1;
 const SOA: u16 = 6;
@@ -124,16 +127,66 @@
     texts: BTreeMap<String, String>,
 }
 
+/// The service's records of an answer, as far as they were read.
+#[derive(Default)]
+struct Records {
+    id: u16,
+    serial: Option<u32>,
+    targets: Vec<Target>,
+    hosts: BTreeMap<String, Host>,
+}
+
+/// What an SRV record tells.
+struct Target {
+    name: String,
+    priority: u16,
+    port: u16,
+}
+
+impl Target {
+    fn state(&self) -> State {
+        if self.priority == 0 { State::Ready } else { State::Draining }
+    }
+}
+
+/// The first label of a target, which is a worker's id.
+fn id_of(target: &str) -> &str {
+    target.split('.').next().unwrap_or_default()
+}
+
+/// Whether the service says that the answer does not hold all, so that it should be asked over TCP (RFC 7766).
+pub fn is_cut_off(message: &[u8]) -> bool {
+    message.get(2).is_some_and(|flags| flags & 0x82 == 0x82)
+}
+
 /// Reads an answer about `service`.
 pub fn read(message: &[u8], service: &str) -> Result<Answer, BadAnswer> {
+    let mut records = Records::default();
+    read_records(message, service, &mut records)?;
+    if is_cut_off(message) {
+        return Err(BadAnswer("cut off"));
+    }
+    let Records { id, serial, targets, hosts } = records;
+    let executors: Result<_, _> = targets.into_iter().map(|target| executor(target, &hosts)).collect();
+    Ok(Answer { id, serial: serial.ok_or(BadAnswer("no serial"))?, executors: executors? })
+}
+
+/// The workers that an answer tells to drain, as far as it can be read: of one that is cut off or breaks a rule, those in
+/// the records before that. That a worker is absent from it tells nothing.
+pub fn draining(message: &[u8], service: &str) -> Vec<WorkerId> {
+    let mut records = Records::default();
+    let _ = read_records(message, service, &mut records);
+    let drains = records.targets.iter().filter(|t| t.state() == State::Draining);
+    drains.map(|t| id_of(&t.name).into()).filter(|id: &WorkerId| !id.is_empty()).collect()
+}
+
+fn read_records(message: &[u8], service: &str, records: &mut Records) -> Result<(), BadAnswer> {
     let mut r = Reader { whole: message, at: 0 };
-    let (id, flags) = (r.u16()?, r.u16()?);
+    records.id = r.u16()?;
+    let flags = r.u16()?;
     if flags & 0x8000 == 0 {
         return Err(BadAnswer("a query"));
     }
-    if flags & 0x0200 != 0 {
-        return Err(BadAnswer("cut off"));
-    }
     if flags & 0x000f != 0 {
         return Err(BadAnswer("an error"));
     }
@@ -145,78 +198,80 @@
         r.name()?;
         r.take(4)?;
     }
-    let records = counts[1] + counts[2] + counts[3];
-    if records > MOST_RECORDS {
+    let announced = counts[1] + counts[2] + counts[3];
+    if announced > MOST_RECORDS {
         return Err(BadAnswer("too many records"));
     }
-    let (mut serial, mut targets, mut hosts) = (None, Vec::new(), BTreeMap::<String, Host>::new());
-    for _ in 0..records {
-        let owner = r.name()?;
-        let (kind, _class, _ttl, size) = (r.u16()?, r.u16()?, r.u32()?, usize::from(r.u16()?));
-        let end = r.at + size;
-        if end > message.len() {
-            return Err(SHORT);
+    for _ in 0..announced {
+        read_record(&mut r, service, records)?;
+    }
+    Ok(())
+}
+
+fn read_record(r: &mut Reader, service: &str, records: &mut Records) -> Result<(), BadAnswer> {
+    let owner = r.name()?;
+    let (kind, _class, _ttl, size) = (r.u16()?, r.u16()?, r.u32()?, usize::from(r.u16()?));
+    let end = r.at + size;
+    if end > r.whole.len() {
+        return Err(SHORT);
+    }
+    match kind {
+        SRV if owner == service => {
+            let (priority, _weight, port) = (r.u16()?, r.u16()?, r.u16()?);
+            let name = r.name()?;
+            records.targets.push(Target { name, priority, port });
         }
-        match kind {
-            SRV if owner == service => {
-                let (priority, _weight, port) = (r.u16()?, r.u16()?, r.u16()?);
-                targets.push((r.name()?, priority, port));
-            }
-            SOA => {
-                r.name()?;
-                r.name()?;
-                serial = Some(r.u32()?);
-            }
-            A if size == 4 => {
-                let octets = <[u8; 4]>::try_from(r.take(4)?).map_err(|_| SHORT)?;
-                hosts.entry(owner).or_default().address = Some(IpAddr::V4(Ipv4Addr::from(octets)));
-            }
-            AAAA if size == 16 => {
-                let octets = <[u8; 16]>::try_from(r.take(16)?).map_err(|_| SHORT)?;
-                hosts.entry(owner).or_default().address = Some(IpAddr::V6(Ipv6Addr::from(octets)));
-            }
-            TXT => {
-                let host = hosts.entry(owner).or_default();
-                while r.at < end {
-                    let size = usize::from(r.take(1)?[0]);
-                    if let Ok(text) = std::str::from_utf8(r.take(size)?)
-                        && let Some((name, value)) = text.split_once('=')
-                    {
-                        host.texts.insert(name.to_string(), value.to_string());
-                    }
+        SOA => {
+            r.name()?;
+            r.name()?;
+            records.serial = Some(r.u32()?);
+        }
+        A if size == 4 => {
+            let octets = <[u8; 4]>::try_from(r.take(4)?).map_err(|_| SHORT)?;
+            records.host(owner).address = Some(IpAddr::V4(Ipv4Addr::from(octets)));
+        }
+        AAAA if size == 16 => {
+            let octets = <[u8; 16]>::try_from(r.take(16)?).map_err(|_| SHORT)?;
+            records.host(owner).address = Some(IpAddr::V6(Ipv6Addr::from(octets)));
+        }
+        TXT => {
+            let host = records.host(owner);
+            while r.at < end {
+                let size = usize::from(r.take(1)?[0]);
+                if let Ok(text) = std::str::from_utf8(r.take(size)?)
+                    && let Some((name, value)) = text.split_once('=')
+                {
+                    host.texts.insert(name.to_string(), value.to_string());
                 }
             }
-            _ => r.at = end,
         }
-        if r.at > end {
-            return Err(BadAnswer("a record longer than it says"));
-        }
-        r.at = end;
+        _ => r.at = end,
+    }
+    if r.at > end {
+        return Err(BadAnswer("a record longer than it says"));
     }
-    let executors =
-        targets.into_iter().map(|(target, priority, port)| executor(target, priority, port, &hosts));
-    let executors = executors.collect::<Result<_, _>>()?;
-    Ok(Answer { id, serial: serial.ok_or(BadAnswer("no serial"))?, executors })
+    r.at = end;
+    Ok(())
 }
 
-fn executor(
-    target: String,
-    priority: u16,
-    port: u16,
-    hosts: &BTreeMap<String, Host>,
-) -> Result<Executor, BadAnswer> {
-    let host = hosts.get(&target).ok_or(BadAnswer("a target without records"))?;
+impl Records {
+    fn host(&mut self, owner: String) -> &mut Host {
+        self.hosts.entry(owner).or_default()
+    }
+}
+
+fn executor(target: Target, hosts: &BTreeMap<String, Host>) -> Result<Executor, BadAnswer> {
+    let host = hosts.get(&target.name).ok_or(BadAnswer("a target without records"))?;
     let address = host.address.ok_or(BadAnswer("a target without an address"))?;
-    let mut labels = target.split('.');
-    let (id, zone) = (labels.next().unwrap_or_default(), labels.next().unwrap_or_default());
+    let zone = target.name.split('.').nth(1).unwrap_or_default();
     let text = |name: &str| host.texts.get(name).map_or("", String::as_str);
     Ok(Executor {
-        id: id.into(),
-        address: SocketAddr::new(address, port),
+        id: id_of(&target.name).into(),
+        address: SocketAddr::new(address, target.port),
         zone: zone.to_string(),
         kind: text("kind").to_string(),
         cell: text("cell").parse().unwrap_or(0),
-        state: if priority == 0 { State::Ready } else { State::Draining },
+        state: target.state(),
         started_ms: text("started").parse().unwrap_or(0),
     })
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,12 +5,12 @@
 use crate::bans::Bans;
 use crate::config::{Config, Settings};
 use crate::core::Engine;
-use crate::counters::{Counters, count, most, say};
+use crate::counters::{Counters, most, say};
 use crate::door::Door;
 use crate::executor::Pool;
 use crate::front::{mqtt, stations, thrift};
 use crate::handover::Handover;
-use crate::names::{Executor, Resolver};
+use crate::names::{self, Executor, Resolver};
 use crate::net::{Clock, Listener, Poll, Ready, Signals, Wish};
 use crate::overload::{self as load, Overload};
 use crate::peers::{self, Peers};
@@ -141,13 +141,14 @@
         engine.bound_functions(limits::function_bytes(&config, function_bytes, handover.shared()));
         let pool = Pool::new(EXECUTORS, pool_limits, counters.clone());
         let service = crate::config::SERVICE;
-        let state = (config.known.0, config.seed);
-        let resolver = Resolver::new(&mut poll, NAMES, config.names, service, state, counters.clone())?;
+        let (serial, executors) = std::mem::take(&mut config.known);
+        let start = names::Start { serial, executors, seed: config.seed, now };
+        let resolver = Resolver::new(&mut poll, NAMES, config.names, service, start, counters.clone())?;
         let thrift = thrift::Front::new(THRIFT, listener, front_limits, counters.clone());
         let door = |ops| Door::new(&mut poll, DOOR, ops, places, counters.clone());
         let door = config.ops.map(door).transpose()?;
         let bans = Bans::open(config.folder.as_ref().map(|f| f.join("bans")));
-        let executors = config.known.1.clone();
+        let executors = resolver.in_use().to_vec();
         let mut node = Node {
             poll,
             clock,
@@ -238,6 +239,10 @@
                 happened.clear();
                 self.poll.wait(0, &mut happened)?;
             }
+            // Answers of the name service first: a connection that is ready in the same turn writes what waits on it, and must
+            // not write to a worker that one of them tells to drain.
+            happened.sort_by_key(|ready| ready.token.owner != NAMES);
+            self.pool.list_was_read();
             // All is read before any of it is acted on. Danger: of what has come meanwhile, word that a client has gone may
             // lie behind an answer that would have its request sent on, and an executor's close behind a new request.
             happened.drain(..).for_each(|ready| self.ready(ready));
@@ -294,10 +299,8 @@
     fn ready(&mut self, ready: Ready) {
         match ready.token.owner {
             NAMES => {
-                if let Some(executors) = self.resolver.ready(self.now, self.executors.len()) {
-                    count(&self.counters.lists_applied);
-                    self.executors = executors;
-                    self.relist();
+                if self.resolver.ready(&mut self.poll, self.now, ready) {
+                    self.list_changed();
                 }
                 self.known |= self.counters.dns_answers.get() > 0;
                 self.heard_names = self.now;
--- a/src/node/beside.rs
+++ b/src/node/beside.rs
@@ -103,8 +103,8 @@
         }
         self.listed.extend(word.listed.into_iter().take(MOST_LISTED));
         self.attached.extend(word.attached);
-        if self.resolver.told(word.serial) || !self.known {
-            self.executors = word.executors;
+        if self.resolver.offer(self.now, "predecessor", word.serial, word.executors) {
+            self.executors = self.resolver.in_use().to_vec();
         }
         self.known = true;
         self.apply(&fresh);
--- a/src/node/listing.rs
+++ b/src/node/listing.rs
@@ -2,6 +2,7 @@
 
 use super::Node;
 use crate::api::{Listing, WorkerId};
+use crate::counters::count;
 use crate::names::{Executor, State};
 
 /// Ids of executors that are known to have been listed.
@@ -10,6 +11,13 @@
 const ATTACHED: u64 = 60_000_000;
 
 impl Node {
+    /// Goes on with the list that is in use now.
+    pub(super) fn list_changed(&mut self) {
+        count(&self.counters.lists_applied);
+        self.executors = self.resolver.in_use().to_vec();
+        self.relist();
+    }
+
     /// Tells all parts the list, as the operators' bans leave it.
     pub(super) fn relist(&mut self) {
         let cold = self.now.saturating_sub(self.settings.module.warm_after + ATTACHED);
--- a/src/node/peering.rs
+++ b/src/node/peering.rs
@@ -120,7 +120,8 @@
             learned,
             "the name service is silent: goes on from a peer's list"
         );
-        (self.executors, self.known) = (word.executors, true);
+        self.resolver.offer(self.now, "peer", word.serial, word.executors);
+        (self.executors, self.known) = (self.resolver.in_use().to_vec(), true);
         self.apply(&[]);
         self.relist();
     }
--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -77,10 +77,11 @@
         self.config = config;
         self.adopt_settings();
         self.stream_file();
-        if self.resolver.told(serial) {
-            self.executors = executors;
+        if self.resolver.offer(self.now, "configuration", serial, executors) {
+            self.list_changed();
+        } else {
+            self.relist();
         }
-        self.relist();
         Ok(())
     }
 
