--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod process;
 pub mod relay;
+pub mod soak;
 #[allow(missing_docs)]
 pub mod stand;
 pub mod subscribers;
