Short reads and interrupted looks hide nothing that lies behind them

Two causes possible, both mended: crates/net/src/link.rs counted reads, so that after four short or interrupted ones an end behind them was seen a turn later; crates/net/src/poll.rs took an interrupted look without a wait for one that saw nothing. Test in crates/net/src/link/tests.rs.

--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -6,8 +6,9 @@
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 
-/// Reads a turn from one connection, so that none holds up the others.
-const READS: usize = 4;
+/// Bytes read a turn from one connection, so that none holds up the others. Reads are not counted: the system may give what is
+/// there in any number of pieces, and an end that lies behind them must be seen in the same turn.
+const MOST_READ: usize = 256 * 1024;
 
 /// Bytes that the system may hold for the peer of a connection of ours.
 const SEND_BUFFER: usize = 64 * 1024;
@@ -229,7 +230,8 @@
     /// Danger: what a peer sent just before it closed must not be acted on as if the peer were still there, so that
     /// the end is looked for in the same turn.
     fn read(&mut self, poll: &mut Poll, out: &mut C::Out) -> Result<Option<Closed>, Closed> {
-        for _ in 0..READS {
+        let mut read = 0;
+        while read < MOST_READ {
             let most = poll.scratch.len().min(self.io.input.room());
             if !self.wants_more() {
                 break;
@@ -246,6 +248,7 @@
                     // Fits: no more than the room was asked for.
                     let _ = self.io.input.push(&poll.scratch[..count]);
                     self.io.received += count as u64;
+                    read += count;
                     self.parse(out)?;
                 }
                 Err(rustix::io::Errno::AGAIN) => break,
@@ -291,3 +294,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/net/src/link/tests.rs
@@ -0,0 +1,40 @@
+use super::*;
+use std::io::Write;
+use std::net::TcpListener;
+use std::time::Duration;
+
+/// Takes whatever comes off the ring.
+struct Sink;
+
+impl Callbacks for Sink {
+    type Out = usize;
+
+    fn received(&mut self, input: &mut Ring, out: &mut usize) -> Result<(), Malformed> {
+        *out += input.len();
+        input.consume(input.len());
+        Ok(())
+    }
+}
+
+#[test]
+fn what_lies_behind_many_short_reads_is_seen_in_the_same_turn() {
+    // So small a ring that the system gives what is there in many pieces.
+    const RING: usize = 8;
+    const SENT: usize = 1_000;
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let mut peer = std::net::TcpStream::connect(address).expect("a connection");
+    let (stream, _) = listener.accept().expect("a connection");
+    stream.set_nonblocking(true).expect("a stream that does not wait");
+    peer.write_all(&[7; SENT]).expect("sent");
+    drop(peer);
+    std::thread::sleep(Duration::from_millis(50));
+    let mut poll = Poll::new().expect("an epoll instance");
+    let token = poll.token(1, 0);
+    let mut link = Link::accepted(&poll, stream.into(), token, Sink, (RING, RING)).expect("a link");
+    let mut happened = Vec::new();
+    poll.wait(1_000_000, &mut happened).expect("a turn");
+    let mut received = 0;
+    let _ = link.ready(&mut poll, happened[0], &mut received);
+    assert_eq!((received, link.io.ended), (SENT, true));
+}
--- a/crates/net/src/poll.rs
+++ b/crates/net/src/poll.rs
@@ -106,9 +106,14 @@
         let ms = most_us.div_ceil(1000).min(60_000);
         let limit = Timespec { tv_sec: (ms / 1000) as i64, tv_nsec: (ms % 1000 * 1_000_000) as i64 };
         self.buffer.clear();
-        match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut self.buffer), Some(&limit)) {
-            Ok(_) | Err(rustix::io::Errno::INTR) => {}
-            Err(e) => return Err(e.into()),
+        loop {
+            match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut self.buffer), Some(&limit)) {
+                Ok(_) => break,
+                // A look that does not wait has to see what is there: who asks for it acts on that.
+                Err(rustix::io::Errno::INTR) if ms == 0 => {}
+                Err(rustix::io::Errno::INTR) => break,
+                Err(e) => return Err(e.into()),
+            }
         }
         out.extend(self.buffer.iter().map(|event| {
             let flags = event.flags;
--- a/crates/rig/src/soak/judge/tests.rs
+++ b/crates/rig/src/soak/judge/tests.rs
@@ -26,7 +26,7 @@
 
 fn arrival(worker: &str, at: Micros, ran: bool) -> Arrival {
     let request = Some(("r".to_string(), Class::Safe));
-    Arrival { worker: worker.to_string(), dispatcher: 0, request, at, ran, cold_since: None }
+    Arrival { worker: worker.to_string(), dispatcher: 0, request, at, timed: true, ran, cold_since: None }
 }
 
 fn process(at: Micros, life: usize, event: ProcessEvent) -> ProcessRecord {
@@ -132,3 +132,10 @@
     let records = Records { outcries: vec!["panicked at".to_string()], ..Records::default() };
     assert_eq!(broken(&records), [Rule::Crash]);
 }
+
+#[test]
+fn a_line_that_may_have_waited_unread_is_not_judged_by_its_time() {
+    let left = Request { left_at: Some(1_100_000), ..request(Class::Safe, End::Left) };
+    let waited = Arrival { timed: false, ..arrival("a", 1_400_000, true) };
+    assert!(broken(&with(left, vec![waited])).is_empty());
+}
--- a/crates/rig/src/soak/record.rs
+++ b/crates/rig/src/soak/record.rs
@@ -92,8 +92,10 @@
     pub dispatcher: Dispatcher,
     /// The request, if it is one; an order to load has none.
     pub request: Option<(String, Class)>,
-    /// When it came.
+    /// When it was read.
     pub at: Micros,
+    /// It surely came then, and had not waited in the system's queue.
+    pub timed: bool,
     /// Whether the worker ran it, or may have.
     pub ran: bool,
     /// The worker had just started and was cold, and when it had started.
