After standing still nothing is written before timers have been acted on

Cause: in the turn after a pause, connections that had come up wrote what waited on them (src/executor/pool.rs, ready) before the timer that recalls it at 0.95 of the window ran (src/node.rs, run). Change: the one place that all writes pass, Pool::must_wait, also holds them in a turn that begins late, until all that came and all timers were acted on.

Test: a_repeat_is_not_sent_after_its_keys_window_though_its_connection_came_up_while_the_process_stood_still.

--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -103,6 +103,8 @@
     unread: usize,
     /// When the answers of the name service that had come were last read.
     list_read_at: Instant,
+    /// Nothing is written in this turn.
+    writes_wait: bool,
     counters: Rc<Counters>,
     /// What has come to its end, in order.
     pub reports: Vec<Report>,
@@ -122,6 +124,7 @@
             answers: Vec::new(),
             unread: 0,
             list_read_at: Instant::now(),
+            writes_wait: false,
             counters,
             reports: Vec::new(),
             sightings: Vec::new(),
@@ -152,14 +155,24 @@
         self.list_read_at = Instant::now();
     }
 
-    /// Decides for every write to an executor whether it may go out now: all of them pass here. What may not stays queued, and
-    /// is withdrawn if the answers that are read next tell that its executor drains.
-    fn hold_if_list_is_old(list_read_at: Instant, link: &mut Link<Peer>, counters: &Counters) {
-        let hold = link.io.unsent() > 0 && list_read_at.elapsed() > LIST_READ_MOST;
-        if hold {
+    /// Has all writes wait, or no longer wait. What waits goes out in a later turn, unless it is withdrawn before.
+    pub fn hold_writes(&mut self, wait: bool) {
+        self.writes_wait = wait;
+    }
+
+    /// Whether a write to an executor must wait now: all of them ask here. What waits stays queued, and is withdrawn if the
+    /// answers that are read next tell that its executor drains.
+    fn must_wait(&self) -> bool {
+        self.writes_wait || self.list_read_at.elapsed() > LIST_READ_MOST
+    }
+
+    /// Has what is queued on a connection wait, if it must.
+    fn hold(link: &mut Link<Peer>, wait: bool, counters: &Counters) {
+        let wait = wait && link.io.unsent() > 0;
+        if wait {
             count(&counters.writes_held);
         }
-        link.io.hold(hold);
+        link.io.hold(wait);
     }
 
     /// Takes the whole list. What is still queued for an executor that drains or is gone is withdrawn.
@@ -375,10 +388,11 @@
     }
 
     fn push(&mut self, poll: &Poll, now: u64, slot: usize) {
+        let wait = self.must_wait();
         let Some(link) = self.links.get_mut(slot) else { return };
         link.peer.used = now;
         Self::renew_waits(link, now);
-        Self::hold_if_list_is_old(self.list_read_at, link, &self.counters);
+        Self::hold(link, wait, &self.counters);
         if link.flush(poll).is_err() {
             // Danger: an answer may have come before the reset that broke the send, and not have been read. The
             // connection takes nothing new; its end is an event of its own, which reads first.
@@ -404,12 +418,12 @@
 
     /// Handles what happened to a connection.
     pub fn ready(&mut self, poll: &mut Poll, now: u64, ready: Ready) {
-        let slot = ready.token.slot as usize;
+        let (slot, wait) = (ready.token.slot as usize, self.must_wait());
         let Some(link) = self.links.get_mut(slot).filter(|l| l.io.token() == ready.token) else { return };
         let mut answers = std::mem::take(&mut self.answers);
         let before = link.io.unread();
         Self::renew_waits(link, now);
-        Self::hold_if_list_is_old(self.list_read_at, link, &self.counters);
+        Self::hold(link, wait, &self.counters);
         let result = link.ready(poll, ready, &mut answers);
         self.unread = self.unread + link.io.unread() - before;
         if ready.read {
--- a/tests/sockets/crossings.rs
+++ b/tests/sockets/crossings.rs
@@ -6,9 +6,9 @@
     Client, Executor, Line, Names, PATIENCE, Program, Reply, call, config, config_at, fields, message,
     until_counted,
 };
-use crate::{hung, id};
+use crate::{accept_silent, hung, id};
 use serde_json::json;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
 
@@ -421,6 +421,37 @@
     assert!(line.contains(&id(2)), "{line}");
 }
 
+#[test]
+fn a_repeat_is_not_sent_after_its_keys_window_though_its_connection_came_up_while_the_process_stood_still() {
+    const WINDOW: Duration = Duration::from_millis(1_500);
+    let (one, names) = (Executor::start(), Names::start());
+    let mut config = config(&[&one], &names);
+    config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
+    config["settings"]["lanes"][1]["repeat_window_us"] = json!(WINDOW.as_micros() as u64);
+    let program = Program::start(&config);
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("level-log", &id(1), LONG), b"");
+    let began = Instant::now();
+    let mut line = one.next();
+    let (address, listener, fill) = hung();
+    names.set(5, &[("s0", one.address, 1), ("s1", address, 0)]);
+    until(&program, "lists_applied", 1);
+    line.answer("ERR", json!({}), b"");
+    until(&program, "ended_error", 1);
+    assert_eq!(program.counters()["attempts_sent"], 2, "the repeat waits for its connection");
+    program.stand_still();
+    drop(fill);
+    let waiting = accept_silent(&listener);
+    std::thread::sleep((WINDOW + Duration::from_millis(100)).saturating_sub(began.elapsed()));
+    program.go_on();
+    // The key is good everywhere, so that the client may try again.
+    assert!(matches!(client.receive(), Some((1, Reply::Refused(_)))));
+    assert_eq!(program.counters()["attempts_withdrawn"], 1);
+    waiting.set_nonblocking(true).expect("a stream that does not wait");
+    let came = (&waiting).read(&mut [0; 1024]);
+    assert!(!matches!(came, Ok(bytes) if bytes > 0), "it was sent after its window");
+}
+
 #[test]
 fn a_request_that_comes_with_the_close_of_an_idle_connection_goes_out_on_another() {
     // Whichever of the two the system tells of first.
--- a/tests/sockets/discovery.rs
+++ b/tests/sockets/discovery.rs
@@ -1,14 +1,14 @@
 //! Which list of workers is in use: numbers of another numbering, answers that are late, large, cut off or doubted, and
 //! drains that any of them tells.
 
-use crate::id;
 use crate::stand::{
     Client, Executor, Names, Program, Reply, config, config_at, fields, until, until_counted,
 };
+use crate::{accept_silent, id};
 use rustix::process::Signal;
 use serde_json::json;
 use std::io::Read;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -145,17 +145,6 @@
     until("a list after the new configuration is never taken", || program.counters()["lists_applied"] >= 2);
 }
 
-/// Accepts connections until one does not end at once; the others only filled the queue.
-fn accept_open(listener: &TcpListener) -> TcpStream {
-    loop {
-        let (mut stream, _) = listener.accept().expect("a connection");
-        stream.set_read_timeout(Some(Duration::from_millis(50))).expect("a time-out");
-        if stream.read(&mut [0]).is_err() {
-            return stream;
-        }
-    }
-}
-
 #[test]
 fn what_waits_for_a_connection_is_not_written_before_a_drain_that_came_in_the_same_turn() {
     let (address, listener, fill) = crate::hung();
@@ -172,7 +161,7 @@
     program.stand_still();
     // The connection comes up and then the drain is told while the process stands still: it sees both in one turn.
     drop(fill);
-    let mut connection = accept_open(&listener);
+    let mut connection = accept_silent(&listener);
     names.set(3, &[("s0", address, 1)]);
     names.let_go();
     program.go_on();
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -12,6 +12,7 @@
 mod versions;
 
 use ochreward_rig::stand;
+use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -20,6 +21,15 @@
     format!("{n:016x}")
 }
 
+/// The first connection that stays open and says nothing; the others only filled the queue.
+fn accept_silent(listener: &TcpListener) -> TcpStream {
+    let silent = |mut stream: TcpStream| {
+        stream.set_read_timeout(Some(Duration::from_millis(50))).expect("a time-out");
+        stream.read(&mut [0]).is_err().then_some(stream)
+    };
+    listener.incoming().map_while(Result::ok).find_map(silent).expect("a connection that stays open")
+}
+
 /// A listener whose queue of connections is full: one that is begun comes up only after a place is made.
 fn hung() -> (SocketAddr, TcpListener, Vec<TcpStream>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
