What waits in a slow turn goes out at its end, behind the name service's latest answers

Now what waited goes out at the end of the turn, after the name service's sockets have been read once more. Test: what_waits_for_the_end_of_a_turn_goes_out_then_however_long_the_turn_took.

--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -79,6 +79,11 @@
         self.held = held;
     }
 
+    /// Whether writes wait.
+    pub fn is_held(&self) -> bool {
+        self.held
+    }
+
     /// The token it is registered under.
     pub fn token(&self) -> Token {
         self.token
--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -103,8 +103,9 @@
     unread: usize,
     /// When the answers of the name service that had come were last read.
     list_read_at: Instant,
-    /// Nothing is written in this turn.
+    /// Nothing is written for now, and something has waited for that or for the list.
     writes_wait: bool,
+    has_held: bool,
     counters: Rc<Counters>,
     /// What has come to its end, in order.
     pub reports: Vec<Report>,
@@ -125,6 +126,7 @@
             unread: 0,
             list_read_at: Instant::now(),
             writes_wait: false,
+            has_held: false,
             counters,
             reports: Vec::new(),
             sightings: Vec::new(),
@@ -155,9 +157,24 @@
         self.list_read_at = Instant::now();
     }
 
-    /// Has all writes wait, or no longer wait. What waits goes out in a later turn, unless it is withdrawn before.
-    pub fn hold_writes(&mut self, wait: bool) {
-        self.writes_wait = wait;
+    /// Has all writes wait until `release_writes`.
+    pub fn hold_writes(&mut self) {
+        self.writes_wait = true;
+    }
+
+    /// Whether writes wait, for `hold_writes` or since the list was not read for a while.
+    pub fn holds_writes(&self) -> bool {
+        self.writes_wait || self.has_held
+    }
+
+    /// Writes what has waited and was not withdrawn. The answers of the name service must have been read just before.
+    pub fn release_writes(&mut self, poll: &Poll, now: u64) {
+        (self.writes_wait, self.has_held) = (false, false);
+        let held: Vec<usize> =
+            self.links.iter().filter(|(_, link)| link.io.is_held()).map(|(slot, _)| slot).collect();
+        for slot in held {
+            self.push(poll, now, slot);
+        }
     }
 
     /// Whether a write to an executor must wait now: all of them ask here. What waits stays queued, and is withdrawn if the
@@ -167,12 +184,13 @@
     }
 
     /// Has what is queued on a connection wait, if it must.
-    fn hold(link: &mut Link<Peer>, wait: bool, counters: &Counters) {
+    fn hold(link: &mut Link<Peer>, wait: bool, counters: &Counters) -> bool {
         let wait = wait && link.io.unsent() > 0;
         if wait {
             count(&counters.writes_held);
         }
         link.io.hold(wait);
+        wait
     }
 
     /// Takes the whole list. What is still queued for an executor that drains or is gone is withdrawn.
@@ -392,7 +410,7 @@
         let Some(link) = self.links.get_mut(slot) else { return };
         link.peer.used = now;
         Self::renew_waits(link, now);
-        Self::hold(link, wait, &self.counters);
+        self.has_held |= Self::hold(link, wait, &self.counters);
         if link.flush(poll).is_err() {
             // Danger: an answer may have come before the reset that broke the send, and not have been read. The
             // connection takes nothing new; its end is an event of its own, which reads first.
@@ -423,7 +441,7 @@
         let mut answers = std::mem::take(&mut self.answers);
         let before = link.io.unread();
         Self::renew_waits(link, now);
-        Self::hold(link, wait, &self.counters);
+        self.has_held |= Self::hold(link, wait, &self.counters);
         let result = link.ready(poll, ready, &mut answers);
         self.unread = self.unread + link.io.unread() - before;
         if ready.read {
--- a/src/executor/pool/tests.rs
+++ b/src/executor/pool/tests.rs
@@ -64,6 +64,23 @@
     assert!(stream.read(&mut [0]).is_ok(), "it is written once the answers have been read");
 }
 
+#[test]
+fn what_waits_for_the_end_of_a_turn_goes_out_then_however_long_the_turn_took() {
+    let (mut poll, mut pool, listener, _) = pool();
+    pool.hold_writes();
+    pool.load(&mut poll, 1_000, 1, &"s0".into(), &"7f3a9c21e0b4d655".into(), 1);
+    let (mut stream, _) = listener.accept().expect("a connection");
+    turn(&mut poll, &mut pool);
+    stream.set_nonblocking(true).expect("a stream that does not wait");
+    assert!(stream.read(&mut [0]).is_err(), "it was written before the end of the turn");
+    pool.list_read_at = long_ago();
+    assert!(pool.holds_writes());
+    pool.list_was_read();
+    pool.release_writes(&poll, 1_000);
+    assert!(!pool.holds_writes());
+    assert!(stream.read(&mut [0]).is_ok(), "it is written at the end of the turn");
+}
+
 #[test]
 fn what_was_held_is_withdrawn_if_its_worker_drains() {
     let (mut poll, mut pool, listener, _) = pool();
--- a/src/names/resolver.rs
+++ b/src/names/resolver.rs
@@ -156,10 +156,19 @@
         self.ask(now);
     }
 
-    /// Reads what has come to all sockets; true if a newer list has come, or the list in use has changed.
+    /// Handles what happened on a socket of the name service; true if a newer list has come, or the list in use has changed.
     pub fn ready(&mut self, poll: &mut Poll, now: u64, ready: Ready) -> bool {
         let changes = self.tracker.changes();
-        let mut news = self.read_stream(poll, now, ready);
+        let news = self.read_stream(poll, now, ready);
+        if self.tracker.changes() > changes {
+            self.report_change();
+        }
+        self.read(poll, now) || news
+    }
+
+    /// Reads what has come over UDP; true if a newer list has come, or the list in use has changed.
+    pub fn read(&mut self, poll: &mut Poll, now: u64) -> bool {
+        let (changes, mut news) = (self.tracker.changes(), false);
         let mut buffer = std::mem::take(&mut self.buffer);
         for index in 0..self.channels.len() {
             news |= self.read_channel(poll, now, index, &mut buffer);
--- a/src/node.rs
+++ b/src/node.rs
@@ -248,7 +248,9 @@
             self.pool.list_was_read();
             // After the process stood still, nothing is written before all that was read and all timers have been acted on: what
             // waits for its connection may be past its key's window or its client's time by now.
-            self.pool.hold_writes(late);
+            if late {
+                self.pool.hold_writes();
+            }
             // All is read before any of it is acted on. Danger: of what has come meanwhile, word that a client has gone may
             // lie behind an answer that would have its request sent on, and an executor's close behind a new request.
             happened.drain(..).for_each(|ready| self.ready(ready));
@@ -272,7 +274,7 @@
                 front.advance(&mut self.poll, self.now);
             }
             self.settle();
-            self.pool.hold_writes(false);
+            self.release_writes();
             if self.finished() {
                 return Ok(());
             }
--- a/src/node/dispatch.rs
+++ b/src/node/dispatch.rs
@@ -53,6 +53,20 @@
         }
     }
 
+    /// At the end of a turn: writes what has waited in it, once what the name service has told meanwhile is known. However long
+    /// turns take, nothing waits for longer than one.
+    pub(super) fn release_writes(&mut self) {
+        if !self.pool.holds_writes() {
+            return;
+        }
+        if self.resolver.read(&mut self.poll, self.now) {
+            self.list_changed();
+        }
+        self.pool.list_was_read();
+        self.pool.release_writes(&self.poll, self.now);
+        self.settle();
+    }
+
     fn command(&mut self, command: Command) {
         let (poll, now) = (&mut self.poll, self.now);
         match command {
