Signals count by a flag; a worker of the soak takes connections as quickly as real ones

Cause: crates/net/src/signals.rs: the handler tells of a signal by a write alone, and one that fails loses the signal for good. Now the handler sets a flag first, which each turn looks at; the write only wakes.

Ruled out: the dispatcher: each line tells the wait that is left when it is written, 1,318 ms of 1,328 ms, so that it was written within 10 ms. Cause: the stand-in's queue of one connection; where 37 connect at once the system drops the end of a handshake with the data behind it, and they come when sent again. The queue is 1,024 long now, and short only while connections are to come up late; lines that come then are of unknown time. The wait that a line tells is recorded and printed with a break.

--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -195,11 +195,7 @@
             std::mem::take(&mut self.hungry).into_iter().for_each(|slot| self.pump(slot));
             for ready in happened.drain(..) {
                 match ready.token.owner {
-                    SIGNALS => {
-                        if self.signals.ready(ready.token) == Some(Wish::Stop) {
-                            return Ok(());
-                        }
-                    }
+                    SIGNALS => self.signals.ready(ready.token),
                     LISTENER => self.accept(time),
                     _ => self.ready(time, ready),
                 }
@@ -208,6 +204,9 @@
                 }
                 self.carry()?;
             }
+            if self.signals.asked().contains(&Wish::Stop) {
+                return Ok(());
+            }
             if time.us >= self.beat_at {
                 self.beat_at = time.us + self.options.heartbeat;
                 self.service.beat();
--- a/crates/rig/src/soak/judge.rs
+++ b/crates/rig/src/soak/judge.rs
@@ -301,11 +301,14 @@
         let came = arrivals.get(request.id.as_str()).map_or(&[][..], Vec::as_slice);
         for arrival in came.iter().filter(|a| a.timed && a.at > due) {
             let what = format!(
-                "n{} {} came to {} {} us after its client left",
+                "n{} {} sent at {} came to {} {} us after its client left at {left}; it waits {:?} ms of {} us",
                 request.dispatcher,
                 request.id,
+                request.sent_at,
                 arrival.worker,
-                arrival.at - left
+                arrival.at - left,
+                arrival.waits_ms,
+                request.waits
             );
             breaks.push(Break { rule: Rule::Gone, at: arrival.at, what });
         }
--- a/crates/rig/src/soak/judge/tests.rs
+++ b/crates/rig/src/soak/judge/tests.rs
@@ -26,7 +26,16 @@
 
 fn arrival(worker: &str, at: Micros, ran: bool) -> Arrival {
     let request = Some(("r".to_string(), Class::Safe));
-    Arrival { worker: worker.to_string(), dispatcher: 0, request, at, timed: true, ran, cold_since: None }
+    Arrival {
+        worker: worker.to_string(),
+        dispatcher: 0,
+        request,
+        at,
+        timed: true,
+        waits_ms: None,
+        ran,
+        cold_since: None,
+    }
 }
 
 fn process(at: Micros, life: usize, event: ProcessEvent) -> ProcessRecord {
--- a/crates/rig/src/soak/record.rs
+++ b/crates/rig/src/soak/record.rs
@@ -96,6 +96,8 @@
     pub at: Micros,
     /// It surely came then, and had not waited in the system's queue.
     pub timed: bool,
+    /// How long the dispatcher said that it waits, in milliseconds, which tells when it wrote the line.
+    pub waits_ms: Option<u64>,
     /// Whether the worker ran it, or may have.
     pub ran: bool,
     /// The worker had just started and was cold, and when it had started.
--- a/crates/rig/src/soak/worker.rs
+++ b/crates/rig/src/soak/worker.rs
@@ -12,8 +12,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// Connections that the system takes before the worker does: few, so that one that does not accept is seen.
-const BACKLOG: i32 = 1;
+/// Connections that the system takes before the worker does. Where there are few the system drops the last packet of a handshake and the
+/// data behind it, and a line that was written in time comes when it is sent again, 0.2 s and more later.
+const BACKLOG: i32 = 1_024;
+/// The same while connections are to come up late.
+const BACKLOG_LATE: i32 = 1;
 /// The longest run of a request, in milliseconds.
 const MOST_RUN_MS: u64 = 60;
 /// Parts of a thousand of the requests that are turned away, miss, or end in an error.
@@ -25,19 +28,22 @@
 
 /// Lines of a connection that may have stood in the queue are of unknown age for so long after it was accepted.
 const QUEUED_US: Micros = 200_000;
+/// Connections that are accepted so long after a time of late ones may have begun in it.
+const LATE_ENDS_US: Micros = 2_000_000;
 
 /// When a line was read, and whether it surely came then.
 #[derive(Clone, Copy)]
 struct Came {
     at: Micros,
     surely: bool,
+    waits_ms: Option<u64>,
 }
 
 /// Connections of our own that leave no room in the queue, so that others come up late.
 fn fill_queue(listener: &TcpListener) -> Vec<TcpStream> {
     let Ok(address) = listener.local_addr() else { return Vec::new() };
     let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(10)).ok();
-    (0..BACKLOG + 2).map_while(|_| connect()).collect()
+    (0..BACKLOG_LATE + 2).map_while(|_| connect()).collect()
 }
 
 /// A body as a worker makes it of a request's.
@@ -167,11 +173,13 @@
             let now = self.recorder.now();
             let late = now < self.late_until.load(Ordering::SeqCst);
             if late {
-                queued_until = now + QUEUED_US;
+                queued_until = now + LATE_ENDS_US;
                 if fill.is_empty() {
+                    let _ = rustix::net::listen(listener, BACKLOG_LATE);
                     fill = fill_queue(listener);
                 }
-            } else {
+            } else if !fill.is_empty() {
+                let _ = rustix::net::listen(listener, BACKLOG);
                 fill.clear();
             }
             let Some((stream, _)) = (!late).then(|| listener.accept().ok()).flatten() else {
@@ -196,8 +204,10 @@
         let mut from = None;
         for line in BufReader::new(reader).lines().map_while(Result::ok) {
             let now = self.recorder.now();
-            let at = Came { at: now, surely: !queued || now > began + QUEUED_US };
             let Ok(line) = serde_json::from_str::<Value>(&line) else { return };
+            let waits = &line["attrs"]["w"];
+            let waits_ms = waits.as_u64().or_else(|| waits.as_str()?.trim().parse().ok());
+            let at = Came { at: now, surely: !queued || now > began + QUEUED_US, waits_ms };
             let rid = line["rid"].as_str().unwrap_or_default().to_string();
             let class = line["attrs"]["c"].as_str().and_then(Class::named);
             match (line["verb"].as_str(), class) {
@@ -219,7 +229,16 @@
 
     fn write(&self, dispatcher: Dispatcher, request: Option<(String, Class)>, came: Came, ran: bool) {
         let (worker, cold_since, at) = (self.id.clone(), self.cold_since, came.at);
-        let arrival = Arrival { worker, dispatcher, request, at, timed: came.surely, ran, cold_since };
+        let arrival = Arrival {
+            worker,
+            dispatcher,
+            request,
+            at,
+            timed: came.surely,
+            waits_ms: came.waits_ms,
+            ran,
+            cold_since,
+        };
         self.recorder.write(|r| r.arrivals.extend(std::iter::repeat_n(arrival, self.copies)));
     }
 
--- a/src/agent/supervisor.rs
+++ b/src/agent/supervisor.rs
@@ -85,6 +85,7 @@
             for ready in happened.drain(..) {
                 self.ready(now, ready);
             }
+            self.obey_signals(now);
             for (slot, instance) in self.instances.iter_mut().enumerate() {
                 instance.advance(&mut self.poll, now, &self.agent, (PROBES, slot));
             }
@@ -97,19 +98,24 @@
         }
     }
 
-    fn ready(&mut self, now: u64, ready: Ready) {
-        let slot = ready.token.slot as usize;
-        match ready.token.owner {
-            SIGNALS => match self.signals.ready(ready.token) {
-                Some(Wish::Stop) => {
+    fn obey_signals(&mut self, now: u64) {
+        for wish in self.signals.asked() {
+            match wish {
+                Wish::Stop => {
                     self.stopping = true;
                     self.instances.iter_mut().for_each(|i| i.end_now(now));
                 }
-                Some(Wish::Print) => say(self.status()),
+                Wish::Print => say(self.status()),
                 // The instances read their own configuration again; the agent's own stays.
-                Some(Wish::Reload) => self.instances.iter().for_each(Managed::reload),
-                None => {}
-            },
+                Wish::Reload => self.instances.iter().for_each(Managed::reload),
+            }
+        }
+    }
+
+    fn ready(&mut self, now: u64, ready: Ready) {
+        let slot = ready.token.slot as usize;
+        match ready.token.owner {
+            SIGNALS => self.signals.ready(ready.token),
             PROBES => {
                 if let Some(instance) = self.instances.get_mut(slot) {
                     instance.ready(&mut self.poll, now, ready);
--- a/src/node.rs
+++ b/src/node.rs
@@ -254,6 +254,7 @@
             // All is read before any of it is acted on. Danger: of what has come meanwhile, word that a client has gone may
             // lie behind an answer that would have its request sent on, and an executor's close behind a new request.
             happened.drain(..).for_each(|ready| self.ready(ready));
+            self.obey_signals();
             self.settle();
             self.engine.advance(self.now);
             self.pool.advance(self.now);
@@ -328,26 +329,31 @@
                 let unix_ms = self.clock.unix_ms(self.now);
                 self.mqtt.ready(&mut self.poll, self.now, unix_ms, ready);
             }
-            _ => match self.signals.ready(ready.token) {
-                Some(Wish::Stop) => {
-                    if self.draining.is_none() {
-                        info!(
-                            instance = self.config.name,
-                            followed = self.handover.followed(),
-                            "settles and ends"
-                        );
-                    }
-                    self.draining.get_or_insert(self.now);
-                    if self.handover.followed() {
-                        // The successor takes what comes from here on.
-                        self.thrift.shut(&self.poll);
-                        self.thrift.leave(self.now, self.now + self.longest().saturating_sub(LAST_CALLS));
-                    }
-                }
-                Some(Wish::Print) => say(self.counters()),
-                Some(Wish::Reload) => self.reload(),
-                None => {}
-            },
+            _ => self.signals.ready(ready.token),
+        }
+    }
+
+    /// Does what signals have asked for.
+    fn obey_signals(&mut self) {
+        for wish in self.signals.asked() {
+            match wish {
+                Wish::Stop => self.begin_to_end(),
+                Wish::Print => say(self.counters()),
+                Wish::Reload => self.reload(),
+            }
+        }
+    }
+
+    /// Settles from here on.
+    fn begin_to_end(&mut self) {
+        if self.draining.is_none() {
+            info!(instance = self.config.name, followed = self.handover.followed(), "settles and ends");
+        }
+        self.draining.get_or_insert(self.now);
+        if self.handover.followed() {
+            // The successor takes what comes from here on.
+            self.thrift.shut(&self.poll);
+            self.thrift.leave(self.now, self.now + self.longest().saturating_sub(LAST_CALLS));
         }
     }
 
