--- a/crates/rig/src/name_service.rs
+++ b/crates/rig/src/name_service.rs
@@ -10,7 +10,27 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-type List = Arc<Mutex<(u32, Vec<(String, SocketAddr, u16)>)>>;
+/// A worker's entry in an answer of the name service.
+#[derive(Clone, Debug)]
+pub struct ListEntry {
+    /// Its id.
+    pub id: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// 0 for ready, 1 for draining.
+    pub priority: u16,
+    /// When its process started, in Unix milliseconds; 0 for long ago.
+    pub started_ms: u64,
+}
+
+impl ListEntry {
+    /// Returns the entry of a ready worker whose process started at this time.
+    pub fn ready(id: &str, address: SocketAddr, started_ms: u64) -> ListEntry {
+        ListEntry { id: id.to_string(), address, priority: 0, started_ms }
+    }
+}
+
+type List = Arc<Mutex<(u32, Vec<ListEntry>)>>;
 
 /// Returns the host name of a worker's id: an id without a zone is in zone `a`, `s1.b` in zone `b`.
 fn host(id: &str) -> String {
@@ -75,7 +95,7 @@
                     continue;
                 }
                 let (serial, list) = current_list.lock().expect("a list").clone();
-                let answer = dns_answer(&query[..size], serial, &list);
+                let answer = list_answer(&query[..size], serial, &list);
                 if garbage.load(Ordering::SeqCst) > 0 {
                     garbage.fetch_sub(1, Ordering::SeqCst);
                     let _ = socket.send_to(&answer[..answer.len() / 2], from);
@@ -155,7 +175,7 @@
     fn answer_all(&self, queries: &[(Vec<u8>, SocketAddr)]) {
         let (serial, list) = self.list.lock().expect("a list").clone();
         for (query, from) in queries {
-            let _ = self.socket.send_to(&dns_answer(query, serial, &list), from);
+            let _ = self.socket.send_to(&list_answer(query, serial, &list), from);
         }
     }
 
@@ -166,9 +186,17 @@
         first().expect("it was sent")
     }
 
-    /// Replaces the list and its serial number.
+    /// Replaces the list and its serial number; all workers of it have started long ago.
     pub fn set(&self, serial: u32, list: &[(&str, SocketAddr, u16)]) {
-        let list = list.iter().map(|(id, a, p)| (id.to_string(), *a, *p)).collect();
+        let entry = |(id, address, priority): &(&str, SocketAddr, u16)| ListEntry {
+            priority: *priority,
+            ..ListEntry::ready(id, *address, 0)
+        };
+        self.set_entries(serial, list.iter().map(entry).collect());
+    }
+
+    /// Replaces the list and its serial number.
+    pub fn set_entries(&self, serial: u32, list: Vec<ListEntry>) {
         *self.list.lock().expect("a list") = (serial, list);
     }
 }
@@ -196,7 +224,7 @@
                 continue;
             }
             let (serial, entries) = list.lock().expect("a list").clone();
-            let answer = dns_answer(&query, serial, &entries);
+            let answer = list_answer(&query, serial, &entries);
             let mut message = (answer.len() as u16).to_be_bytes().to_vec();
             message.extend(answer);
             let _ = stream.write_all(&message);
@@ -204,13 +232,8 @@
     });
 }
 
-fn dns_answer(query: &[u8], serial: u32, list: &[(String, SocketAddr, u16)]) -> Vec<u8> {
-    let long_ago: Vec<_> = list.iter().map(|(id, a, p)| (id.clone(), *a, *p, 0)).collect();
-    list_answer(query, serial, &long_ago)
-}
-
-/// Encodes a DNS answer that lists ids, addresses, priorities and start times in Unix milliseconds.
-pub fn list_answer(query: &[u8], serial: u32, list: &[(String, SocketAddr, u16, u64)]) -> Vec<u8> {
+/// Encodes a DNS answer with this list.
+pub fn list_answer(query: &[u8], serial: u32, list: &[ListEntry]) -> Vec<u8> {
     let name = |name: &str| {
         let mut out = Vec::new();
         for label in name.split('.') {
@@ -233,7 +256,7 @@
         out.extend((data.len() as u16).to_be_bytes());
         out.extend(data);
     };
-    for (id, address, priority, _) in list {
+    for ListEntry { id, address, priority, .. } in list {
         let mut data = priority.to_be_bytes().to_vec();
         data.extend([0, 40]);
         data.extend(address.port().to_be_bytes());
@@ -244,11 +267,11 @@
     soa.extend(serial.to_be_bytes());
     soa.extend([0; 16]);
     record(&mut out, &service, 6, &soa);
-    for (id, _, _, started) in list {
+    for ListEntry { id, started_ms, .. } in list {
         let host = name(&host(id));
         record(&mut out, &host, 1, &[127, 0, 0, 1]);
         let mut texts = Vec::new();
-        for text in ["kind=std".to_string(), "cell=0".to_string(), format!("started={started}")] {
+        for text in ["kind=std".to_string(), "cell=0".to_string(), format!("started={started_ms}")] {
             texts.push(text.len() as u8);
             texts.extend(text.bytes());
         }
--- a/crates/rig/src/soak/service.rs
+++ b/crates/rig/src/soak/service.rs
@@ -4,6 +4,7 @@
 
 use super::plan::ServiceFaults;
 use super::record::{Dispatcher, DrainNotice, Micros, Recorder};
+use crate::name_service::ListEntry;
 use crate::relay::bind_udp_and_tcp;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -279,12 +280,19 @@
         if versions_back == 0 && !duplicate_id {
             draining_or_removed.extend(self.history.removed_since(current.first_version, &entries));
         }
-        let mut listed: Vec<(String, SocketAddr, u16, u64)> =
-            entries.iter().map(|e| (e.id.clone(), e.address, u16::from(e.draining), e.started_ms)).collect();
+        let listed_entry = |entry: &Entry| ListEntry {
+            id: entry.id.clone(),
+            address: entry.address,
+            priority: u16::from(entry.draining),
+            started_ms: entry.started_ms,
+        };
+        let mut listed: Vec<ListEntry> = entries.iter().map(listed_entry).collect();
         let unused_address = SocketAddr::from(([127, 0, 0, 1], 9));
-        listed.extend((0..self.faults.padding).map(|n| (format!("pad{n}"), unused_address, 1, 0)));
+        let padding =
+            |n| ListEntry { priority: 1, ..ListEntry::ready(&format!("pad{n}"), unused_address, 0) };
+        listed.extend((0..self.faults.padding).map(padding));
         if let (true, Some(first)) = (duplicate_id, listed.first().cloned()) {
-            listed.push((first.0, unused_address, first.2, first.3));
+            listed.push(ListEntry { address: unused_address, ..first });
         }
         if self.false_notices {
             draining_or_removed.extend(entries.iter().take(1).map(|e| e.id.clone()));
--- a/crates/rig/src/stand.rs
+++ b/crates/rig/src/stand.rs
@@ -16,7 +16,7 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 
-pub use crate::name_service::{Names, list_answer};
+pub use crate::name_service::{ListEntry, Names, list_answer};
 pub use crate::thrift_client::{Client, Reply, call, fields, message};
 
 /// The timeout of every wait: far longer than any step takes, so that only a failure reaches it.
--- /dev/null
+++ b/tests/sockets/restarts.rs
@@ -0,0 +1,141 @@
+//! Tests of workers whose process is replaced under the same id: whatever the list says of the new process, and however it
+//! arrives, the worker gets no more requests than the budget of a cold one.
+
+use crate::stand::{Client, ListEntry, Names, Program, Reply, config_at, fields, until};
+use ochreward_rig::worker::{Power, Worker};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// The window of a cold worker's budget in these tests.
+const BUDGET_WINDOW: Duration = Duration::from_millis(500);
+/// The time in which a worker becomes warm in these tests.
+const WARM_UP: Duration = Duration::from_secs(4);
+/// The share of its capacity that a worker has at its start.
+const COLD_SHARE: f64 = 0.15;
+/// The multiple of its present capacity that a worker bears.
+const BUDGET_MULTIPLE: f64 = 2.0;
+/// Clients that send one request after the other.
+const CLIENTS: u64 = 4;
+/// A client waits so long after a refusal.
+const RETRY_DELAY: Duration = Duration::from_millis(1);
+
+static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970").as_millis() as u64
+}
+
+/// Sends requests without a break for some time, and waits until all are answered.
+fn send_requests(address: SocketAddr, time: Duration) {
+    let over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for _ in 0..CLIENTS {
+            scope.spawn(|| {
+                let mut client = Client::connect(address);
+                for seq in 1.. {
+                    if over.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let id = crate::id(NEXT_REQUEST.fetch_add(1, Ordering::SeqCst));
+                    client.serve(seq, &fields("flow-read", &id, 5_000), b"");
+                    match client.receive() {
+                        Some((_, Reply::Served(_))) => {}
+                        Some(_) => std::thread::sleep(RETRY_DELAY),
+                        None => panic!("request {id} got no answer"),
+                    }
+                }
+            });
+        }
+        std::thread::sleep(time);
+        over.store(true, Ordering::SeqCst);
+    });
+}
+
+/// One dispatcher, a worker `s0` that serves its requests, and a worker `s1` that drains.
+struct Fixture {
+    program: Program,
+    worker: Worker,
+    names: Names,
+    serial: u32,
+    /// The requests that the warm worker got within a window.
+    warm_requests: f64,
+}
+
+impl Fixture {
+    fn configuration(worker: &Worker, names: &Names) -> Value {
+        let mut configuration = config_at(&[worker.address], names);
+        let rules = &mut configuration["settings"]["rules"];
+        rules["fall_us"] = json!(BUDGET_WINDOW.as_micros() as u64);
+        rules["warm_after_us"] = json!(WARM_UP.as_micros() as u64);
+        rules["cold_share"] = json!(COLD_SHARE);
+        rules["fall_multiple"] = json!(BUDGET_MULTIPLE);
+        configuration
+    }
+
+    /// Starts the dispatcher and lists the worker's first start; returns once that has warmed up and its capacity is measured.
+    fn with_warm_worker() -> Fixture {
+        let worker = Worker::with(Power { service: Duration::from_millis(4), lanes: 4, queue: 64 });
+        let names = Names::start();
+        let program = Program::start(&Fixture::configuration(&worker, &names));
+        let mut fixture = Fixture { program, worker, names, serial: 1, warm_requests: 0.0 };
+        fixture.list(unix_ms());
+        std::thread::sleep(WARM_UP);
+        send_requests(fixture.program.address, BUDGET_WINDOW);
+        let before = fixture.worker.tries();
+        send_requests(fixture.program.address, BUDGET_WINDOW);
+        fixture.warm_requests = (fixture.worker.tries() - before) as f64;
+        assert!(fixture.warm_requests > 100.0, "only {} requests a window", fixture.warm_requests);
+        fixture
+    }
+
+    fn entries(&self, started_ms: u64) -> Vec<ListEntry> {
+        let draining = ListEntry { priority: 1, ..ListEntry::ready("s1", self.names.address, 0) };
+        vec![ListEntry::ready("s0", self.worker.address, started_ms), draining]
+    }
+
+    /// Lists the worker with this start, and waits until the dispatcher has applied the list.
+    fn list(&mut self, started_ms: u64) {
+        self.list_entries(self.entries(started_ms));
+    }
+
+    fn list_entries(&mut self, entries: Vec<ListEntry>) {
+        let before = self.program.counters()["dns_answers"];
+        self.serial += 1;
+        self.names.set_entries(self.serial, entries);
+        self.names.sent(self.serial);
+        // Two further answers: a worker that is new to the list has to be confirmed.
+        until("the list is not applied", || self.program.counters()["dns_answers"] >= before + 3);
+    }
+
+    /// Replaces the worker's process.
+    fn restart_worker(&mut self) {
+        self.worker.kill();
+        self.worker.restart();
+    }
+
+    /// The most requests that a worker may get in the first window after its start.
+    fn allowed(&self) -> f64 {
+        let warmed_up = (1.0 - COLD_SHARE) * BUDGET_WINDOW.as_secs_f64() / WARM_UP.as_secs_f64();
+        let budget = BUDGET_MULTIPLE * (COLD_SHARE + warmed_up) * self.warm_requests;
+        if budget < 30.0 { budget + 3.0 * budget.sqrt() + 3.0 } else { budget + 2.0 * budget.sqrt() + 2.0 }
+    }
+
+    /// Sends requests for a window and asserts that the worker got some, and no more than a cold one may get.
+    fn assert_budget_is_kept(&self) {
+        send_requests(self.program.address, BUDGET_WINDOW);
+        let got = self.worker.within(BUDGET_WINDOW) as f64;
+        let allowed = self.allowed();
+        assert!(got <= allowed, "{got} requests in the first window, {allowed:.0} allowed");
+        assert!(got > 0.0, "the worker is used");
+    }
+}
+
+#[test]
+fn worker_that_restarts_while_it_stays_listed_gets_no_more_than_a_cold_ones_budget() {
+    let mut fixture = Fixture::with_warm_worker();
+    fixture.restart_worker();
+    fixture.list(unix_ms());
+    fixture.assert_budget_is_kept();
+}
