A listed worker's new start is another process, whatever the list said before

Change: discovery::WorkerStarts knows the start announced last for each id. Another start, or another address, is another process. Its time is believed only between the last query that did not show it less 1.5 s and its list; outside it counts from the list. Starts go to a successor with the state. Each is logged with old and new value, list number and limit; counters worker_restarts, worker_starts_limited. Tests: the two of clamp_start are replaced by discovery::starts::tests, stricter: a start an hour off counts as now, where it counted as 8.5 s old, which is warm where warm_after_us is 8 s.

--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -156,6 +156,8 @@
     leases_lent: "Leases granted to peers.",
     leases_borrowed: "Leases obtained from peers.",
     log_events_dropped: "Log events dropped by the rate limit.",
+    worker_restarts: "Executors whose process was replaced under their id.",
+    worker_starts_limited: "Starts of executors that count from their list, because the announced time cannot be right or none was announced.",
     loop_lag_most_us: "The longest iteration of the event loop, in microseconds.",
 }
 
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -7,6 +7,7 @@
 mod list;
 mod resolver;
 mod schedule;
+mod starts;
 mod tcp_exchange;
 mod tracker;
 mod udp_channel;
@@ -14,5 +15,6 @@
 
 pub use list::{Executor, ExecutorState, MAX_EXECUTORS, MAX_ID_BYTES, ZoneAndKindNames};
 pub use resolver::{InitialList, Resolver};
+pub use starts::{KnownStart, NewStart, StartLimit, StartRange, WorkerStarts};
 pub use tracker::{Decision, ListTracker, ReceivedList};
 pub use validate::{Doubt, EMPTY_HOLD_US, ListValidator, Verdict};
--- a/src/discovery/resolver.rs
+++ b/src/discovery/resolver.rs
@@ -49,6 +49,8 @@
     confirmed_answer: Vec<u8>,
     /// When the latest query was sent whose answer agreed with the list in use.
     confirmed_at: u64,
+    /// When the latest query was sent whose answer agreed with the list before the one in use.
+    previous_confirmed_at: u64,
     /// Whether the list in use has been logged as stale.
     logged_stale: bool,
     receive_buffer: Vec<u8>,
@@ -93,6 +95,7 @@
             tracker: ListTracker::new(start.now, start.serial, start.executors),
             confirmed_answer: Vec::new(),
             confirmed_at: start.now,
+            previous_confirmed_at: start.now,
             logged_stale: false,
             receive_buffer: vec![0; MAX_MESSAGE_BYTES],
             counters,
@@ -149,6 +152,16 @@
         now.saturating_sub(self.confirmed_at)
     }
 
+    /// Returns when the latest query was sent whose answer still agreed with the list before the one in use.
+    pub fn previous_confirmed_at(&self) -> u64 {
+        self.previous_confirmed_at
+    }
+
+    /// Returns whether the list in use came from the name service.
+    pub fn is_list_from_service(&self) -> bool {
+        self.tracker.is_from_service()
+    }
+
     /// Returns when [`Resolver::advance`] has to be called next.
     pub fn next_query_at(&self) -> u64 {
         self.schedule.next_query_at()
@@ -372,6 +385,9 @@
             (executors.len(), ReceivedList { serial, executors, queried_at, received_at: now });
         let (decision, changed) = self.tracker.apply(list);
         let asked_ms = now.saturating_sub(queried_at) / 1_000;
+        if matches!(decision, Decision::Newer | Decision::Renumbered) {
+            self.previous_confirmed_at = self.confirmed_at;
+        }
         match decision {
             Decision::Newer | Decision::Renumbered | Decision::Confirms => {
                 self.confirmed_answer.clear();
--- a/src/handover.rs
+++ b/src/handover.rs
@@ -7,7 +7,7 @@
 
 use crate::api::WorkerId;
 use crate::control::LearnedState;
-use crate::discovery::Executor;
+use crate::discovery::{Executor, KnownStart};
 use rustix::fs::{FlockOperation, flock};
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File};
@@ -46,6 +46,10 @@
     /// When each executor's ban ended.
     #[serde(rename = "attached")]
     pub ban_lifted_at: Vec<(WorkerId, u64)>,
+    /// The start of the process behind each executor's id.
+    #[serde(default)]
+    #[serde(rename = "starts")]
+    pub worker_starts: Vec<(WorkerId, KnownStart)>,
     /// The names of the classes, in the places that `learned` refers to.
     pub classes: Vec<String>,
     /// What the decision module has learned.
@@ -270,6 +274,7 @@
             executors: vec![],
             ever_listed: vec![],
             ban_lifted_at: vec![],
+            worker_starts: vec![],
             classes,
             learned,
             list_age_us: 0,
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,7 +11,7 @@
 use crate::config::{Config, Settings};
 use crate::core::Engine;
 use crate::counters::{Counters, print_line, record_max};
-use crate::discovery::{self, Executor, Resolver};
+use crate::discovery::{self, Executor, Resolver, WorkerStarts};
 use crate::executor::Pool;
 use crate::front::{mqtt, stations, thrift};
 use crate::handover::Handover;
@@ -104,8 +104,10 @@
     names_heard_at: u64,
     /// Every executor id that has been listed; new lists add none once there are `MAX_LISTED_IDS`.
     ever_listed: BTreeSet<WorkerId>,
-    /// When each executor that announces its start time was first listed.
-    first_listed_at: BTreeMap<WorkerId, u64>,
+    /// When the process behind each executor's id started.
+    worker_starts: WorkerStarts,
+    /// When the first list of the name service came into use.
+    service_list_at: Option<u64>,
     /// When each executor's ban ended: it counts as started cold at that time.
     ban_lifted_at: BTreeMap<WorkerId, u64>,
     pool: Pool,
@@ -210,7 +212,8 @@
             handover,
             executors,
             ever_listed: BTreeSet::new(),
-            first_listed_at: BTreeMap::new(),
+            worker_starts: WorkerStarts::default(),
+            service_list_at: None,
             ban_lifted_at: BTreeMap::new(),
             pool,
             resolver,
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -83,6 +83,7 @@
         let mut state = HandoverState::new(self.now, self.settings.classes.clone(), self.engine.learned());
         (state.serial, state.executors) = (self.resolver.serial(), self.executors.clone());
         state.ever_listed = self.ever_listed.iter().cloned().collect();
+        state.worker_starts = self.worker_starts.to_vec();
         state.ban_lifted_at = self.ban_lifted_at.iter().map(|(id, at)| (id.clone(), *at)).collect();
         match self.handover.write_state(state) {
             Ok(()) => count(&self.counters.handovers_given),
@@ -107,6 +108,7 @@
         }
         self.ever_listed.extend(state.ever_listed.into_iter().take(MAX_LISTED_IDS));
         self.ban_lifted_at.extend(state.ban_lifted_at);
+        self.worker_starts.restore(state.worker_starts);
         if self.resolver.offer_list(self.now, "predecessor", state.serial, state.executors) {
             self.executors = self.resolver.executors().to_vec();
         }
--- a/src/node/listing.rs
+++ b/src/node/listing.rs
@@ -6,20 +6,22 @@
 use super::Node;
 use crate::api::{WorkerEntry, WorkerId};
 use crate::counters::count;
-use crate::discovery::{Executor, ExecutorState};
-use std::collections::BTreeSet;
+use crate::discovery::{Executor, ExecutorState, NewStart, StartRange};
+use tracing::info;
 
 /// The most executor ids remembered as having been listed.
 pub(super) const MAX_LISTED_IDS: usize = 16_384;
 /// How long after an executor's ban ends its new start time is remembered, beyond its warm-up time, in microseconds.
 const LIFTED_BAN_RETENTION_US: u64 = 60_000_000;
 
-/// The longest time between a worker's start and its listing, in microseconds: the platform's protocol page ('Figures') has
-/// the name service publish any change within this time, and an event within 1.5 s.
+/// The longest time between a worker's start and the first list that has the worker, in microseconds: the platform's
+/// protocol page ('Figures') has the name service publish any change within this time.
 const MAX_LISTING_DELAY_US: u64 = 8_500_000;
+/// The longest time between an event and the answers that have it, in microseconds, by the platform's protocol page ('The
+/// name service'): an answer without a restart shows that the restart happened no earlier than this before its query.
+const MAX_EVENT_DELAY_US: u64 = 1_500_000;
 
-/// A worker first listed within this time after the process started may have started long before: the first lists arrive
-/// within it.
+/// A worker that is first listed within this time after the first list of the name service may have started long before.
 const FIRST_LISTS_US: u64 = 1_500_000;
 
 impl Node {
@@ -51,10 +53,10 @@
         if self.ever_listed.len() < MAX_LISTED_IDS {
             self.ever_listed.extend(executors.iter().map(|e| e.id.clone()));
         }
+        self.update_worker_starts();
         self.pool.set_executors(&executors);
-        self.record_first_listed();
         let listing = |e: &Executor| -> WorkerEntry {
-            let ready_at = self.started_at(e).max(self.ban_lifted_at.get(&e.id).copied());
+            let ready_at = self.started_at(&e.id).max(self.ban_lifted_at.get(&e.id).copied());
             self.settings.vocabulary.to_entry(e, ready_at)
         };
         let entries = executors.iter().map(listing).collect();
@@ -67,32 +69,47 @@
         self.engine.set_workers(self.now, entries);
     }
 
-    /// Records when workers that announce their start time were first listed.
-    fn record_first_listed(&mut self) {
-        let with_start: BTreeSet<&WorkerId> =
-            self.executors.iter().filter(|e| e.started_ms > 0).map(|e| &e.id).collect();
-        self.first_listed_at.retain(|id, _| with_start.contains(id));
-        for id in with_start {
-            self.first_listed_at.entry(id.clone()).or_insert(self.now);
+    /// Learns from the list in use which workers' processes are others than before, and logs them.
+    fn update_worker_starts(&mut self) {
+        if self.resolver.is_list_from_service() {
+            self.service_list_at.get_or_insert(self.now);
+        }
+        let earliest_restart = self.resolver.previous_confirmed_at().saturating_sub(MAX_EVENT_DELAY_US);
+        let is_first_list = self.service_list_at.is_none_or(|at| self.now <= at + FIRST_LISTS_US);
+        let range = StartRange {
+            earliest_restart,
+            earliest_new: if is_first_list { 0 } else { self.now.saturating_sub(MAX_LISTING_DELAY_US) },
+            latest: self.now,
+        };
+        let clock = &self.clock;
+        let new = self.worker_starts.apply(&self.executors, range, |ms| clock.from_unix_ms(ms));
+        for start in new {
+            self.log_new_start(&start);
         }
     }
 
-    /// Returns when a worker started, if it announces that. The announced time is a wall-clock time, and the clock there or
-    /// here may be wrong, so it is limited by when the worker was first listed.
-    fn started_at(&self, executor: &Executor) -> Option<u64> {
-        let announced = (executor.started_ms > 0).then(|| self.clock.from_unix_ms(executor.started_ms))?;
-        let listed = self.first_listed_at.get(&executor.id).copied().unwrap_or(self.now);
-        let added_later = listed > self.started + FIRST_LISTS_US;
-        Some(clamp_start(announced, listed, added_later))
+    fn log_new_start(&self, new: &NewStart) {
+        let NewStart { worker, previous, start, limit } = new;
+        if limit.is_some() {
+            count(&self.counters.worker_starts_limited);
+        }
+        // The starts of the first list are no news: the process has just started itself.
+        let Some(previous) = previous else { return };
+        count(&self.counters.worker_restarts);
+        info!(
+            worker = &**worker,
+            serial = self.resolver.serial(),
+            previous_ms = previous.announced_ms,
+            announced_ms = start.announced_ms,
+            incarnation = start.incarnation,
+            age_ms = start.started_at.map(|at| self.now.saturating_sub(at) / 1_000),
+            ?limit,
+            "another process stands behind a worker's id; it counts as cold"
+        );
     }
-}
 
-/// Clamps an announced start time to the possible range: no later than the first listing, and, for a worker that was added
-/// to a list this process already had, no earlier than [`MAX_LISTING_DELAY_US`] before it.
-fn clamp_start(announced: u64, listed: u64, added_later: bool) -> u64 {
-    let earliest = if added_later { listed.saturating_sub(MAX_LISTING_DELAY_US) } else { 0 };
-    announced.clamp(earliest, listed)
+    /// Returns when a worker's process started, if that is not long ago.
+    fn started_at(&self, worker: &WorkerId) -> Option<u64> {
+        self.worker_starts.get(worker).and_then(|start| start.started_at)
+    }
 }
-
-#[cfg(test)]
-mod tests;
