Failing test: cold workers that are left alone are overloaded by all routers together

The new simulated fleets (tests/fleet/cold_sum.rs) have workers with cores and queues, clients that ask for four times what is served, and check every window of a cold worker against the platform's N + 2 x root of N + 2. With each estimate printed (a trial): n0 believed 1,768 requests a second and worker while 5 were up, 26,259 when the last warm one was gone 3 s later: Router::next_cold_turn divides the answers of all workers by the capacity of those that are left, at least 1 (src/control.rs).

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 //! and stated bounds, with one router, two, a prime number and a hundred. Failures print their seed.
 
 mod cold_budget;
+mod cold_sum;
 
 use ochreward::*;
 use rand_pcg::Pcg32;
@@ -58,6 +59,7 @@
     id: RequestId,
     sent: Micros,
     done: Micros,
+    outcome: Outcome,
     /// The function and the worker.
     target: (String, String),
     /// The requests for this function that the worker already held when this one arrived.
@@ -121,6 +123,15 @@
         self.cumulative_shares = weights.iter().map(|w| (sum += w / total, sum).1).collect();
     }
 
+    /// Gives half of the requests of some of the first `routers` routers to the routers after these, one each, in order. The others
+    /// receive equal parts.
+    fn share_requests(&mut self, routers: usize, shared: &[usize]) {
+        let mut weights = vec![1.0; routers];
+        shared.iter().for_each(|router| weights[*router] = 0.5);
+        weights.extend(shared.iter().map(|_| 0.5));
+        self.set_router_weights(&weights);
+    }
+
     /// Draws the router that receives the next request.
     fn draw_router(&mut self) -> usize {
         let at = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
@@ -137,18 +148,34 @@
     /// Runs until `end` with `rate` requests a second in total, at random routers, over `functions` functions. A run at a
     /// worker takes `run(worker)`, and every worker holds a replica of each function.
     fn run(&mut self, end: Micros, rate: f64, functions: u32, run: impl Fn(&str) -> Micros) {
+        self.run_with(end, rate, functions, |_, worker| Some(run(worker)));
+    }
+
+    /// Runs like [`Simulation::run`]. `serve(now, worker)` returns when the worker answers a request that it gets now; with
+    /// `None` it is full, and says so at once.
+    fn run_with(
+        &mut self,
+        end: Micros,
+        rate: f64,
+        functions: u32,
+        mut serve: impl FnMut(Micros, &str) -> Option<Micros>,
+    ) {
         let gap = (1e6 / rate) as Micros;
         while self.now < end {
             self.now += gap / 2 + Micros::from(self.rng.next_u32()) % gap;
             while let Some(n) = (0..self.in_flight.len()).find(|n| self.in_flight[*n].done <= self.now) {
-                let InFlight { router, id, sent, done, same_function_requests, .. } =
+                let InFlight { router, id, sent, done, outcome, same_function_requests, .. } =
                     self.in_flight.swap_remove(n);
                 let event = Event::AttemptEnded {
                     id,
                     attempt: 0,
                     is_final: true,
-                    outcome: Outcome::Ok,
-                    found: ReplicaStatus::Warm,
+                    outcome,
+                    found: if outcome == Outcome::Ok {
+                        ReplicaStatus::Warm
+                    } else {
+                        ReplicaStatus::NotReported
+                    },
                     concurrent_requests: Some(same_function_requests),
                     latency: done - sent,
                     report: vec![],
@@ -178,7 +205,9 @@
             for action in self.deliver(router, &event) {
                 if let Action::Send { worker, .. } = action {
                     let worker = worker.to_string();
-                    let done = self.now + run(&worker);
+                    let served = serve(self.now, &worker);
+                    let outcome = if served.is_some() { Outcome::Ok } else { Outcome::Full };
+                    let done = self.now + served.unwrap_or(MS);
                     self.workers_by_function.entry(name.clone()).or_default().insert(worker.clone());
                     self.sends.push((self.now, worker.clone()));
                     let target = (name.clone(), worker);
@@ -189,6 +218,7 @@
                         id,
                         sent: self.now,
                         done,
+                        outcome,
                         target,
                         same_function_requests,
                     });
