A cold worker's budget comes from warm workers' answers and binds if all of it is taken

Each new estimate applied to all time since the start, so that turn numbers jumped. Turns were dealt up to 1 / 0.3 times as fast, on the assumption that the others lapse. Change: control::cold_start. Capacity is what warm workers serve each, the last known while none is warm. Permits accrue along the ramp from the moment a router learns of a start, staggered; a new process starts without any. Saved and new permits of a window stay within N + 2 x root of N + 2 of the estimate if all are taken; a permit's lifetime is what uses most under that. Load reports and answers of the process before are forgotten. A handed over state names permits taken in place of the last turn.

--- a/src/control.rs
+++ b/src/control.rs
@@ -12,6 +12,7 @@
 
 mod budget;
 mod candidates;
+mod cold_start;
 mod evidence;
 mod fleet;
 mod functions;
@@ -30,6 +31,8 @@
 
 pub use budget::{Budget, Tokens, ZoneGate};
 use candidates::{ChoiceInputs, MAX_RENDEZVOUS_WORKERS, Rank, Search, min_by_key, min_key};
+pub use cold_start::BudgetDivision;
+use cold_start::ColdBudget;
 use evidence::DecayingMean;
 use fleet::FleetSums;
 use functions::FunctionTable;
@@ -40,9 +43,7 @@
 use renewal::{RenewalQueue, ReplicaUse, pop_expired};
 use reports::{LoadReport, ReportFields};
 pub use slots::{DecisionCounters, TableSizes};
-use tables::{
-    Attempt, ClassEstimates, Function, Replica, Request, Worker, rendezvous, replica_mut, sanitized,
-};
+use tables::{Attempt, ClassEstimates, Function, Replica, Request, Worker, replica_mut, sanitized};
 
 // ---- Learning of run times, load times and losses ----
 
@@ -124,15 +125,6 @@
 
 // ---- Cold workers ----
 
-/// Share of a cold worker's budget that the routers use.
-const COLD_BUDGET_SHARE: f64 = 0.6;
-/// A router's turn at a cold worker lapses after this share of the fall window, so that turns cannot be saved
-/// up and spent at once.
-const TURN_LIFETIME_WINDOW_SHARE: f64 = 0.5;
-/// A cold worker attracts up to this multiple of its even share of a router's requests.
-const COLD_ATTRACTION_FACTOR: f64 = 2.0;
-/// The share of turns assumed to be used is at least this.
-const MIN_TURN_USE_SHARE: f64 = 0.3;
 /// The usual capacity of a cold worker, as a share of full capacity, is the guaranteed share raised to this
 /// power.
 const COLD_CAPACITY_EXPONENT: f64 = 0.5;
@@ -199,8 +191,8 @@
     total_if_warm: f64,
     /// The total if the replica has to be loaded.
     total_if_cold: f64,
-    /// Number of the turn at a cold worker that this request would use.
-    cold_turn: u64,
+    /// The worker's budget in slow start once this request is sent.
+    cold_budget: ColdBudget,
     /// This router has no request in flight there and has sent none for a while.
     idle: bool,
 }
@@ -257,8 +249,6 @@
     requests: BTreeMap<RequestId, Request>,
     /// What is learned for each class.
     class_estimates: Vec<ClassEstimates>,
-    /// Answers received, for their rate.
-    answer_rate: DecayingMean,
     /// Recent losses in each zone over all its workers: 0 is an answer, 1 a loss.
     zone_losses: BTreeMap<usize, DecayingMean>,
     /// Observed load times over expected ones: the slowness of the store.
@@ -267,9 +257,10 @@
     /// the less it infers from other workers.
     sparsity: f64,
     counters: DecisionCounters,
-    /// Where dispatchers are members of one group: how many serve, into how many parts a cold worker's budget
-    /// is divided, and which part is this router's.
-    division: Option<(usize, usize, usize)>,
+    /// How a cold worker's budget is divided, if not by the settings.
+    division: Option<BudgetDivision>,
+    /// The rate at which each warm worker has served this router's requests, per microsecond, while any was warm.
+    served_per_worker: f64,
     budget: Budget,
     resend_tokens: f64,
     hedge_tokens: f64,
@@ -302,12 +293,12 @@
             exhaustive_search: false,
             requests: BTreeMap::new(),
             class_estimates: Vec::new(),
-            answer_rate: DecayingMean::default(),
             zone_losses: BTreeMap::new(),
             store_slowness: DecayingMean::default(),
             sparsity: 1.0,
             counters: DecisionCounters::default(),
             division: None,
+            served_per_worker: 0.0,
             budget: Budget::default(),
             resend_tokens: MAX_TOKENS,
             hedge_tokens: MAX_TOKENS,
@@ -325,12 +316,6 @@
         (self.workers.len(), self.functions.counts().0, self.requests.len())
     }
 
-    /// Sets how many routers serve, into how many parts a cold worker's budget is divided, and the number of
-    /// this router's part. With `None`, the settings apply.
-    pub fn set_cold_budget_division(&mut self, division: Option<(usize, usize, usize)>) {
-        self.division = division;
-    }
-
     /// Records that a connection to a worker was refused although no attempt was sent there, as by a probe.
     pub fn probe_failed(&mut self, now: Micros, worker: &WorkerId) {
         if let Some(slot) = self.worker_ids.get(worker) {
@@ -662,57 +647,6 @@
             || request.attempts.iter().all(|a| !a.may_have_run)
     }
 
-    /// Returns the share of its full capacity that a worker is sure to have now.
-    fn present_share(&self, worker: &Worker) -> f64 {
-        let Some(age) = worker.ready_at.map(|r| self.now.saturating_sub(r)) else { return 1.0 };
-        let (least, warm) = (self.settings.cold_share, self.settings.warm_after.max(1) as f64);
-        (least + (1.0 - least) * age as f64 / warm).min(1.0)
-    }
-
-    /// Returns the number of this router's next turn at a cold worker, if one is available; for a warm
-    /// worker, the turn last taken. Without turns, all routers together would overload a worker that has just
-    /// started. Its budget is dealt out to the routers in rotation, one request per turn, and an unused turn
-    /// lapses. The worker's full capacity is taken to be what its peers serve each, and at least what one
-    /// core could.
-    fn next_cold_turn(&self, worker: &Worker, function: &Function, inputs: &ChoiceInputs) -> Option<u64> {
-        let age = worker.ready_at.map_or(f64::INFINITY, |r| self.now.saturating_sub(r) as f64);
-        let warm_after = self.settings.warm_after as f64;
-        if age >= warm_after {
-            return Some(worker.last_cold_turn);
-        }
-        let (alive, parts, my_part) = self.division.unwrap_or((
-            self.settings.dispatcher_count,
-            self.settings.dispatcher_count,
-            self.settings.own_index,
-        ));
-        let parts = parts.max(1) as u64;
-        let fleet_capacity = inputs.capacity.get_or_init(|| self.capacity()).max(1.0);
-        let rate_per_worker =
-            self.answer_rate.rate(self.now, self.half_life_us) * alive as f64 / fleet_capacity;
-        let rate_per_worker =
-            rate_per_worker.max(1.0 / self.class_estimates[function.class].run_time.max(1.0));
-        // With many routers, the one whose turn it is often has no request to use it for. The rotation is
-        // sped up to make up for the turns that are expected to lapse.
-        let lifetime = TURN_LIFETIME_WINDOW_SHARE * self.settings.fall_window as f64;
-        let observed_for = self.recent_requests.front().map_or(1.0, |t| (self.now - t).max(1) as f64);
-        let expected_requests = COLD_ATTRACTION_FACTOR * lifetime / fleet_capacity
-            * (self.recent_requests.len() + 1) as f64
-            / observed_for;
-        let used_share = (1.0 - (-expected_requests).exp()).max(MIN_TURN_USE_SHARE);
-        let full_rate = COLD_BUDGET_SHARE / used_share * self.settings.fall_multiple * rate_per_worker;
-        let cold_share = self.settings.cold_share;
-        // Turns dealt out up to an age: the integral of a rate that grows linearly from the cold share to the
-        // full one.
-        let turns_at = |age: f64| {
-            (full_rate * (cold_share * age + (1.0 - cold_share) * age * age / (2.0 * warm_after))) as u64
-        };
-        let lapsed = turns_at((age - lifetime).max(0.0));
-        let after = lapsed.max(worker.last_cold_turn);
-        let offset = rendezvous(&worker.id, &worker.id).wrapping_add(my_part as u64) % parts;
-        let next = after + 1 + (offset + parts - (after + 1) % parts) % parts;
-        (next <= turns_at(age)).then_some(next)
-    }
-
     // ---- Estimated completion times: choice and admission ----
 
     /// Charges a request to this router's part of its tenant's quota and returns whether the quota was
@@ -752,8 +686,8 @@
         let slowness = self.slowness(target, inputs.fleet_slowness)
             / self.present_share(target).powf(COLD_CAPACITY_EXPONENT);
         let run_time = function.run_time * slowness * request.size.run_time_factor;
-        let cold_turn =
-            self.next_cold_turn(target, function, inputs).filter(|_| self.may_send(request, worker))?;
+        let cold_budget =
+            self.take_cold_permit(target, function, inputs).filter(|_| self.may_send(request, worker))?;
         let replica = target.replicas.get(&request.function).copied().unwrap_or_default();
         let warmth = self.warmth(&replica);
         let whole_load = self.load_cost(request);
@@ -823,7 +757,7 @@
             unobserved: peer_replica.is_some(),
             total_if_warm,
             total_if_cold: if peer_replica.is_some() { total_if_warm + whole_load } else { total },
-            cold_turn,
+            cold_budget,
             // The wait grows with the number of routers, so that all of them together try an unused worker
             // with about one request at a time.
             idle: target.open_attempts.is_empty()
@@ -1020,8 +954,11 @@
             rejected: false,
             presumed_lost: false,
         });
-        self.counters.cold_turns += u64::from(w.last_cold_turn != e.cold_turn);
-        (w.last_sent, w.last_cold_turn) = (self.now, e.cold_turn);
+        if w.cold_budget != e.cold_budget {
+            self.counters.cold_turns += 1;
+            w.cold_permits_taken += 1;
+        }
+        (w.last_sent, w.cold_budget) = (self.now, e.cold_budget);
         let hedge_at = self.now.saturating_add((HEDGE_DELAY_FACTOR * e.total_if_cold) as Micros);
         out.push(Action::Send { id, worker: w.id.clone(), deadline: None });
         if hedge_at < request.deadline {
@@ -1195,6 +1132,9 @@
             w.last_answer = if sample == 0.0 { now } else { w.last_answer };
         }
         w.open_attempts.retain(|o| *o != (id, number));
+        if outcome == Outcome::Ok {
+            w.answers.add(now, self.half_life_us, 1.0);
+        }
         if let Some(held) = self.report_fields.held(report) {
             w.report = LoadReport::new(now, held, w.open_attempts.len());
         }
@@ -1219,7 +1159,9 @@
         }
         match outcome {
             Outcome::Ok => {
-                self.answer_rate.add(now, self.half_life_us, 1.0);
+                self.fleet.add_answer(now, worker);
+                self.served_per_worker =
+                    self.fleet.answer_rate_per_warm_worker(now).unwrap_or(self.served_per_worker);
                 self.functions.served(now, function);
                 self.renewals.push(ReplicaUse { at: now, worker, function });
                 replica.last_used = now;
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -27,6 +27,7 @@
     /// Time at which it becomes warm; `None` if it is warm.
     warm_at: Option<Micros>,
     slowness: DecayingMean,
+    answers: DecayingMean,
     weight: Weight,
     /// Its key in the order by slowness.
     slowness_key: Option<u64>,
@@ -67,6 +68,9 @@
     times: TimeConstants,
     workers: Vec<WorkerTerms>,
     up: usize,
+    /// Workers that are up and warm, and the requests that they served.
+    warm: usize,
+    warm_answers: DecayingSum,
     /// Workers that are not warm yet, by the time at which they become warm.
     warming: BTreeSet<(Micros, usize)>,
     /// Workers of full weight, by the time until which they have it.
@@ -100,6 +104,7 @@
             up: worker.up,
             warm_at: warm_at.filter(|at| now < *at),
             slowness: worker.slowness,
+            answers: worker.answers,
             ..WorkerTerms::default()
         };
         self.apply(slot, now, true);
@@ -128,13 +133,17 @@
             terms.weight = weight(terms, now, half_life);
             terms.slowness_key = Some(mean.map_or(f64::INFINITY, |m| m.max(0.0) + 0.0).to_bits());
         }
-        let WorkerTerms { up, warm_at, slowness, weight, slowness_key } = *terms;
+        let WorkerTerms { up, warm_at, slowness, answers, weight, slowness_key } = *terms;
         let sign = if adds { 1.0 } else { -1.0 };
         match (up, adds) {
             (true, true) => self.up += 1,
             (true, false) => self.up -= 1,
             (false, _) => {}
         }
+        if up && warm_at.is_none() {
+            self.warm = if adds { self.warm + 1 } else { self.warm.saturating_sub(1) };
+            self.warm_answers.add(now, half_life, sign * answers.samples(now, half_life));
+        }
         let change = |index: &mut BTreeSet<(u64, usize)>, key: u64| {
             if adds {
                 index.insert((key, slot))
@@ -161,6 +170,9 @@
         if self.full.is_empty() {
             self.full_sum = 0.0;
         }
+        if self.warm == 0 {
+            self.warm_answers = DecayingSum::default();
+        }
         if self.decaying == 0 {
             (self.decaying_sum, self.decaying_weight) = Default::default();
         }
@@ -170,6 +182,25 @@
         }
     }
 
+    /// Counts an answer of a worker, which the caller has added to the worker's own.
+    pub(super) fn add_answer(&mut self, now: Micros, slot: usize) {
+        self.advance(now);
+        let half_life = self.times.half_life;
+        let Some(terms) = self.workers.get_mut(slot) else { return };
+        terms.answers.add(now, half_life, 1.0);
+        if terms.up && terms.warm_at.is_none() {
+            self.warm_answers.add(now, half_life, 1.0);
+        }
+    }
+
+    /// Returns the mean rate at which the warm workers serve requests, per microsecond; `None` if none is warm and up.
+    /// Answers of workers that are gone, or cold, do not count. [`FleetSums::advance`] must have been called with the same time.
+    pub(super) fn answer_rate_per_warm_worker(&self, now: Micros) -> Option<f64> {
+        let half_life = self.times.half_life;
+        let answers = self.warm_answers.value_at(now, half_life).max(0.0);
+        (self.warm > 0).then(|| answers * std::f64::consts::LN_2 / half_life / self.warm as f64)
+    }
+
     /// Returns the number of workers that are up.
     pub(super) fn up(&self) -> usize {
         self.up
--- a/src/control/learned.rs
+++ b/src/control/learned.rs
@@ -4,6 +4,7 @@
 //! checked before it is used. The tables of the sender bound its size; dormant functions are limited to [`MAX_DORMANT`].
 //! No requests are decided here.
 
+use super::cold_start::ColdBudget;
 use super::preference::PreferenceRing;
 use super::tables::{ClassEstimates, Function, Replica, Worker};
 use super::{DecayingMean, Router};
@@ -25,7 +26,7 @@
     functions: Vec<Function>,
     #[serde(rename = "pools")]
     class_estimates: Vec<ClassEstimates>,
-    /// Evidence of the rate of answers, and of the slowness of the function store.
+    /// Evidence of the slowness of the function store, in second place. The first place is of an earlier format and is ignored.
     rates: (DecayingMean, DecayingMean),
     /// Times of the requests and of the load orders that the load ration counts.
     ration: (VecDeque<Micros>, VecDeque<Micros>),
@@ -144,7 +145,7 @@
             workers: self.workers.iter().map(renumbered).collect(),
             functions,
             class_estimates: self.class_estimates.clone(),
-            rates: (self.answer_rate, self.store_slowness),
+            rates: (DecayingMean::default(), self.store_slowness),
             ration: (self.recent_requests.clone(), self.recent_load_orders.clone()),
         }
     }
@@ -159,14 +160,17 @@
         }
         let LearnedState { workers, functions, class_estimates: pools, rates, ration } = learned;
         (self.workers, self.class_estimates) = (workers, pools);
-        ((self.answer_rate, self.store_slowness), (self.recent_requests, self.recent_load_orders)) =
-            (rates, ration);
+        ((_, self.store_slowness), (self.recent_requests, self.recent_load_orders)) = (rates, ration);
         for times in [&mut self.recent_requests, &mut self.recent_load_orders] {
             times.make_contiguous().sort_unstable();
         }
         let slots = self.functions.replace(now, functions);
+        // The predecessor may spend the permits that it holds.
+        let cold_budgets: Vec<ColdBudget> =
+            self.workers.iter().map(|worker| self.starting_cold_budget(&worker.id)).collect();
         for (worker_slot, worker) in self.workers.iter_mut().enumerate() {
             worker.open_attempts.clear();
+            worker.cold_budget = cold_budgets[worker_slot];
             let replicas = std::mem::take(&mut worker.replicas).into_iter();
             worker.replicas = replicas
                 .map(|(number, replica)| (slots[number], Replica { own_in_flight: 0, ..replica }))
@@ -184,6 +188,7 @@
         self.ring.update(&[], &all);
         self.update_preference_order();
         self.rebuild_indexes();
+        self.served_per_worker = self.fleet.answer_rate_per_warm_worker(self.now).unwrap_or_default();
         true
     }
 }
--- a/src/control/slots.rs
+++ b/src/control/slots.rs
@@ -6,6 +6,7 @@
 use super::fleet::{FleetSums, TimeConstants};
 use super::functions::{MIN_FUNCTION_BYTES, RetiredFunction};
 use super::renewal::{RenewalQueue, ReplicaUse};
+use super::reports::LoadReport;
 use super::tables::{Function, Replica, Worker};
 use super::{DORMANT_AFTER_KEEP_ALIVES, DecayingMean, Router, Warmth};
 use crate::api::{Action, FunctionId, Micros, WorkerEntry, WorkerId, WorkerStatus};
@@ -95,6 +96,7 @@
             }
         }
         for (slot, entry) in self.assign_slots(entries).into_iter().zip(entries) {
+            let cold_budget = self.starting_cold_budget(&entry.worker);
             let worker = &mut self.workers[slot];
             worker.listed = entry.standing != WorkerStatus::Removed;
             if entry.standing != WorkerStatus::Removed {
@@ -107,8 +109,11 @@
                 self.zone_losses.remove(&entry.zone);
                 worker.forget_replicas();
                 worker.slowness = DecayingMean::default();
-                worker.last_cold_turn = 0;
+                worker.answers = DecayingMean::default();
+                worker.report = LoadReport::default();
                 worker.losses_by_class.fill(DecayingMean::default());
+                worker.cold_permits_taken = 0;
+                worker.cold_budget = cold_budget;
             }
             let up = entry.standing == WorkerStatus::Healthy;
             (worker.down_since, worker.up) =
@@ -188,6 +193,7 @@
         let worker = Worker {
             id: id.clone(),
             ready_at,
+            cold_budget: self.starting_cold_budget(&id),
             losses_by_class: lost,
             last_answer_by_class: heard,
             ..Worker::default()
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -2,6 +2,7 @@
 //! request is decided here. `Worker`, `Replica`, `Function` and `ClassEstimates` are handed to the next process, so the
 //! order and the serialised names of their fields are fixed. Times are in microseconds.
 
+use super::cold_start::ColdBudget;
 use super::hints::{HintExponent, HintMean, WorkHint};
 use super::reports::LoadReport;
 use super::{DecayingMean, Estimate};
@@ -52,9 +53,15 @@
     /// Its last load report.
     #[serde(default)]
     pub(super) report: LoadReport,
-    /// While cold: the number of the last turn that this router took there.
+    /// Permits that this router took there since the start of the worker's process.
     #[serde(rename = "turn")]
-    pub(super) last_cold_turn: u64,
+    pub(super) cold_permits_taken: u64,
+    /// While cold: the permits that this router may still take.
+    #[serde(default)]
+    pub(super) cold_budget: ColdBudget,
+    /// Requests that it served, for their rate.
+    #[serde(default)]
+    pub(super) answers: DecayingMean,
 }
 
 /// The assumed state of a function's replicas at a worker.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,7 +12,7 @@
     Action, Class, Effect, Event, FunctionId, KeyScope, Micros, Outcome, ReplicaStatus, RequestId, Settings,
     WorkerEntry, WorkerId,
 };
-use crate::control::{Budget, LearnedState, Router};
+use crate::control::{Budget, BudgetDivision, LearnedState, Router};
 use crate::counters::{Counters, count};
 use siphasher::sip::SipHasher13;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -253,7 +253,7 @@
     /// Sets how the budget of a worker in cold start is divided among dispatchers that know of each other:
     /// the number of serving dispatchers, the number of parts, and the index of this dispatcher's part.
     /// `None` restores the division of the settings.
-    pub fn set_cold_budget_division(&mut self, division: Option<(usize, usize, usize)>) {
+    pub fn set_cold_budget_division(&mut self, division: Option<BudgetDivision>) {
         self.router.set_cold_budget_division(division);
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -95,5 +95,5 @@
 pub mod zones;
 
 pub use api::*;
-pub use control::Router;
+pub use control::{BudgetDivision, Router};
 pub use ochreward_net as net;
--- a/src/node/peering.rs
+++ b/src/node/peering.rs
@@ -4,6 +4,7 @@
 //! observations and state with peers, and divides work with them. At most one process of a dispatcher is a member.
 
 use super::{Node, PEERS};
+use crate::control::BudgetDivision;
 use crate::counters::count;
 use crate::handover::HandoverState;
 use crate::peers::{InitialState, Peers};
@@ -49,11 +50,11 @@
         peers.announce(serving, self.counters.version_number.get(), load.min(1_000) as u16);
         peers.advance(self.now);
         if let Some(division) = peers.changed_division(self.now) {
-            self.engine.set_cold_budget_division(Some((
-                division.alive,
-                division.divisor,
-                division.part_index,
-            )));
+            self.engine.set_cold_budget_division(Some(BudgetDivision {
+                alive: division.alive,
+                parts: division.divisor,
+                part_index: division.part_index,
+            }));
         }
         self.send_state_to_peer();
         self.take_list_from_peer();
--- a/tests/fleet/cold_budget.rs
+++ b/tests/fleet/cold_budget.rs
@@ -4,7 +4,7 @@
 //! `SEEDS=1000 cargo test --release --test fleet cold -- --nocapture` runs 1,000 fleets of each size.
 
 use super::{MS, S, Simulation};
-use ochreward::Micros;
+use ochreward::{BudgetDivision, Micros};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::collections::VecDeque;
@@ -47,7 +47,7 @@
 }
 
 /// Runs a fleet with unequal traffic, in which up to half of the workers are replaced while the rest queue.
-fn run_fleet_with_division(routers: usize, seed: u64, division: Option<(usize, usize, usize)>) -> Outcome {
+fn run_fleet_with_division(routers: usize, seed: u64, division: Option<BudgetDivision>) -> Outcome {
     let mut rng = Pcg32::seed_from_u64(seed ^ (routers as u64) << 40);
     let mut fleet = Simulation::new(routers, seed);
     fleet.routers.iter_mut().for_each(|r| r.set_cold_budget_division(division));
@@ -160,7 +160,15 @@
     // Injected fault: each router takes the whole budget for its own part.
     for routers in [20, 300] {
         let found = (0..4)
-            .filter(|seed| run_fleet_with_division(routers, *seed, Some((routers, 1, 0))).over > 0)
+            .filter(|seed| {
+                run_fleet_with_division(
+                    routers,
+                    *seed,
+                    Some(BudgetDivision { alive: routers, parts: 1, part_index: 0 }),
+                )
+                .over
+                    > 0
+            })
             .count();
         assert!(found > 0, "{routers} routers");
     }
--- a/tests/fleet/cold_sum.rs
+++ b/tests/fleet/cold_sum.rs
@@ -6,7 +6,7 @@
 //! `SEEDS=100 cargo test --release --test fleet cold_sum` runs 100 fleets of each size.
 
 use super::{MS, S, Simulation, settings};
-use ochreward::{Event, Micros, Router};
+use ochreward::{BudgetDivision, Event, Micros, Router};
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
@@ -114,9 +114,9 @@
             assert!(successor.restore(now, self.simulation.routers[predecessor].learned()), "a usable state");
             let entries = super::entries(list);
             successor.handle(now, &Event::Workers { complete: true, entries }, &mut vec![]);
-            successor.set_cold_budget_division(Some((routers, 2 * routers, 2 * predecessor + 1)));
-            let divided = Some((routers, 2 * routers, 2 * predecessor));
-            self.simulation.routers[predecessor].set_cold_budget_division(divided);
+            let part = |part_index| Some(BudgetDivision { alive: routers, parts: 2 * routers, part_index });
+            successor.set_cold_budget_division(part(2 * predecessor + 1));
+            self.simulation.routers[predecessor].set_cold_budget_division(part(2 * predecessor));
             pairs.push((predecessor, self.simulation.routers.len()));
             self.simulation.routers.push(successor);
         }
