--- a/tests/sockets/restarts.rs
+++ b/tests/sockets/restarts.rs
@@ -4,6 +4,7 @@
 use crate::stand::{Client, ListEntry, Names, Program, Reply, config_at, fields, until};
 use ochreward_rig::worker::{Power, Worker};
 use serde_json::{Value, json};
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -21,6 +22,9 @@
 /// A client waits so long after a refusal.
 const RETRY_DELAY: Duration = Duration::from_millis(1);
 
+/// The capacity of a worker that is so slow that all requests prefer the other one.
+const SLOW: Power = Power { service: Duration::from_millis(200), lanes: 64, queue: 64 };
+
 static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
 
 fn unix_ms() -> u64 {
@@ -138,6 +142,11 @@
         if budget < 30.0 { budget + 3.0 * budget.sqrt() + 3.0 } else { budget + 2.0 * budget.sqrt() + 2.0 }
     }
 
+    /// Waits until the dispatcher has noticed the worker's second start.
+    fn await_restart(&self) {
+        until("the restart is not noticed", || self.program.counters()["worker_restarts"] >= 2);
+    }
+
     /// Sends requests for a window and asserts that the worker got some, and no more than a cold one may get.
     fn assert_budget_is_kept(&self) {
         send_requests(self.program.address, BUDGET_WINDOW);
@@ -152,8 +161,7 @@
 #[test]
 fn worker_that_restarts_while_it_stays_listed_gets_no_more_than_a_cold_ones_budget() {
     let mut fixture = Fixture::with_warm_worker(Other::Ready);
-    // The other worker becomes slow, so that all requests prefer the restarted one.
-    fixture.other_worker.power(Power { service: Duration::from_millis(200), lanes: 64, queue: 64 });
+    fixture.other_worker.power(SLOW);
     fixture.restart_worker();
     fixture.list(unix_ms());
     fixture.assert_budget_is_kept();
@@ -166,3 +174,62 @@
     fixture.list(unix_ms());
     fixture.assert_budget_is_kept();
 }
+
+#[test]
+fn start_in_a_list_that_is_refused_for_another_entry_is_not_missed() {
+    let mut fixture = Fixture::with_warm_worker(Other::Ready);
+    fixture.other_worker.power(SLOW);
+    fixture.restart_worker();
+    let mut entries = fixture.entries(unix_ms());
+    let conflicting = |address| ListEntry::ready("s9", address, 0);
+    entries.extend([conflicting(fixture.names.address), conflicting(fixture.worker.address)]);
+    fixture.list_entries(entries);
+    assert!(fixture.program.counters()["lists_refused"] > 0);
+    fixture.await_restart();
+    fixture.assert_budget_is_kept();
+}
+
+#[test]
+fn start_in_a_truncated_answer_is_not_missed() {
+    let mut fixture = Fixture::with_warm_worker(Other::Ready);
+    fixture.other_worker.power(SLOW);
+    fixture.restart_worker();
+    // Holds the records of the first worker, and not all of the second one's.
+    fixture.names.cut_at.store(320, Ordering::SeqCst);
+    let entries = fixture.entries(unix_ms());
+    fixture.serial += 1;
+    fixture.names.set_entries(fixture.serial, entries);
+    until("the truncated answer is not refused", || fixture.program.counters()["lists_refused"] > 0);
+    fixture.await_restart();
+    fixture.assert_budget_is_kept();
+}
+
+#[test]
+fn request_that_waits_for_the_process_before_is_not_written_to_the_restarted_one() {
+    let (address, listener, queue_fill) = crate::hung();
+    let names = Names::start();
+    let mut configuration = config_at(&[address], &names);
+    configuration["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
+    let program = Program::start(&configuration);
+    names.set_entries(2, vec![ListEntry::ready("s0", address, 0)]);
+    until("the list is not accepted", || program.counters()["lists_applied"] >= 1);
+    let mut client = Client::connect(program.address);
+    client.serve(1, &fields("flow-read", &crate::id(1), 20_000), b"");
+    until("the request does not wait for its connection", || program.counters()["attempts_sent"] == 1);
+    names.hold();
+    program.stand_still();
+    // The connection is established and the new start is listed while the process is stopped.
+    drop(queue_fill);
+    let mut connection = crate::accept_silent(&listener);
+    names.set_entries(3, vec![ListEntry::ready("s0", address, unix_ms())]);
+    names.let_go();
+    program.go_on();
+    assert!(
+        matches!(client.receive(), Some((1, Reply::Refused(_)))),
+        "the request is refused, which is safe because it was not sent"
+    );
+    connection.set_read_timeout(Some(Duration::from_secs(1))).expect("a time-out");
+    let mut sent = Vec::new();
+    let _ = connection.read_to_end(&mut sent);
+    assert_eq!(String::from_utf8_lossy(&sent), "", "the request was sent to the restarted worker");
+}
