Lines queued for the process before are withdrawn when another stands behind the id

Callers would see: a request that waited for a connection, or lay in a full socket, is written to the restarted worker though it was decided for the warm one, without a permit of the cold one's budget. Cause: Pool::set_executors (src/executor/pool.rs) withdrew queued lines for a drain, a removal and another address, not for another process at the same address. Change: the pool is told each executor's start. With another one its queued lines are withdrawn (proved not to have run, so that they are decided anew), and connections begun before the start take no more lines.

--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -103,12 +103,21 @@
     pub is_probe: bool,
 }
 
+/// An executor of the list, as the pool needs it.
+#[derive(Clone, Copy, Debug)]
+struct ListedExecutor {
+    address: SocketAddr,
+    state: ExecutorState,
+    /// When its process started; `None` for long ago.
+    started_at: Option<u64>,
+}
+
 /// The connections to all executors.
 pub struct Pool {
     /// The owner id of the pool's sockets in the event loop.
     owner: u8,
     limits: PoolSettings,
-    listed: BTreeMap<WorkerId, (SocketAddr, ExecutorState)>,
+    listed: BTreeMap<WorkerId, ListedExecutor>,
     links: Slab<Connection<ExecutorConnection>>,
     /// The connection and request id of each attempt that awaits an answer.
     attempts: BTreeMap<AttemptId, (usize, String)>,
@@ -214,28 +223,45 @@
         hold
     }
 
-    /// Applies the complete executor list. Lines still queued for an executor that drains or has been removed
-    /// are withdrawn.
-    pub fn set_executors(&mut self, executors: &[Executor]) {
-        let new = executors.iter().map(|e| (e.id.clone(), (e.address, e.state))).collect();
+    /// Applies the complete executor list; `started_at` returns when an executor's process started, `None` for long ago. Lines
+    /// still queued for an executor that drains or has been removed, or for the process before the present one, are withdrawn.
+    pub fn set_executors(&mut self, executors: &[Executor], started_at: impl Fn(&WorkerId) -> Option<u64>) {
+        let listed = |e: &Executor| ListedExecutor {
+            address: e.address,
+            state: e.state,
+            started_at: started_at(&e.id),
+        };
+        let new = executors.iter().map(|e| (e.id.clone(), listed(e))).collect();
         let old = std::mem::replace(&mut self.listed, new);
         let slots: Vec<usize> = self.links.iter().map(|(slot, _)| slot).collect();
         for slot in slots {
-            let worker = self.links[slot].handler.worker.clone();
-            match self.listed.get(&worker) {
-                Some((address, ExecutorState::Ready))
-                    if old.get(&worker).is_none_or(|(a, _)| a == address) => {}
-                // A line queued on a connecting or blocked socket would otherwise be sent after the drain was
-                // announced.
-                _ => self.withdraw_unsent(slot),
+            let peer = &mut self.links[slot].handler;
+            let (before, now) = (old.get(&peer.worker), self.listed.get(&peer.worker));
+            let Some(now) = now.filter(|now| now.state == ExecutorState::Ready) else {
+                // A line queued on a connecting or blocked socket would otherwise be sent after the drain was announced.
+                peer.closing = true;
+                self.withdraw_unsent(slot);
+                continue;
+            };
+            let moved = before.is_some_and(|before| before.address != now.address);
+            let restarted = before.is_some_and(|before| before.started_at != now.started_at);
+            // A connection that is older than the process leads to the one before, or to none.
+            peer.closing |= moved || restarted && Some(peer.connect_started_at) < now.started_at;
+            if moved || restarted {
+                self.withdraw_unsent(slot);
             }
         }
     }
 
-    /// Stops using a connection for new lines and withdraws the queued lines of which nothing has been sent.
+    /// Returns the address of an executor that the list has as ready.
+    fn ready_address(&self, worker: &WorkerId) -> Option<SocketAddr> {
+        let listed = self.listed.get(worker)?;
+        (listed.state == ExecutorState::Ready).then_some(listed.address)
+    }
+
+    /// Withdraws the queued lines of a connection of which nothing has been sent.
     fn withdraw_unsent(&mut self, slot: usize) {
         let link = &mut self.links[slot];
-        link.handler.closing = true;
         let written = if link.io.connecting() { 0 } else { link.io.written };
         let started = |e: &PendingLine| e.start < written;
         // A partially sent line is sent to its end: a truncated line would corrupt the connection's framing.
@@ -310,7 +336,7 @@
     /// Probes an executor to which there is no connection by opening one. Returns false if no probe is made:
     /// the executor is not ready or already connected, or the limit on connections is reached.
     pub fn probe(&mut self, poll: &mut Poll, now: u64, worker: &WorkerId) -> bool {
-        let Some((address, ExecutorState::Ready)) = self.listed.get(worker).copied() else { return false };
+        let Some(address) = self.ready_address(worker) else { return false };
         let connected = self.links.iter().any(|(_, l)| l.handler.worker == *worker && !l.handler.closing);
         // A probe must not take up a connection that a request may need.
         if connected || self.links.len() >= self.limits.max_connections {
@@ -384,9 +410,7 @@
         purpose: Purpose,
         line: &[u8],
     ) -> Result<usize, Outcome> {
-        let Some((address, ExecutorState::Ready)) = self.listed.get(worker).copied() else {
-            return Err(Outcome::NotSent);
-        };
+        let Some(address) = self.ready_address(worker) else { return Err(Outcome::NotSent) };
         let limits = &self.limits;
         let usable = |link: &Connection<ExecutorConnection>| {
             let peer = &link.handler;
--- a/src/executor/pool/tests.rs
+++ b/src/executor/pool/tests.rs
@@ -21,7 +21,7 @@
         report: Vec::new(),
     };
     let mut pool = Pool::new(OWNER, limits, counters.clone());
-    pool.set_executors(&[executor(&listener, ExecutorState::Ready)]);
+    pool.set_executors(&[executor(&listener, ExecutorState::Ready)], |_| None);
     (Poll::new().expect("an epoll instance"), pool, listener, counters)
 }
 
@@ -89,7 +89,7 @@
     let (mut stream, _) = listener.accept().expect("a connection");
     run_event_loop_once(&mut poll, &mut pool);
     pool.mark_list_read();
-    pool.set_executors(&[executor(&listener, ExecutorState::Draining)]);
+    pool.set_executors(&[executor(&listener, ExecutorState::Draining)], |_| None);
     run_event_loop_once(&mut poll, &mut pool);
     let mut sent = Vec::new();
     stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a time-out");
--- a/src/node/listing.rs
+++ b/src/node/listing.rs
@@ -54,7 +54,8 @@
             self.ever_listed.extend(executors.iter().map(|e| e.id.clone()));
         }
         self.update_worker_starts();
-        self.pool.set_executors(&executors);
+        let starts = &self.worker_starts;
+        self.pool.set_executors(&executors, |worker| starts.get(worker).and_then(|start| start.started_at));
         let listing = |e: &Executor| -> WorkerEntry {
             let ready_at = self.started_at(&e.id).max(self.ban_lifted_at.get(&e.id).copied());
             self.settings.vocabulary.to_entry(e, ready_at)
