Two processes of one dispatcher share its part of a cold worker's budget

Cause: predecessor and successor both took the turns of the part that the settings or the group give the dispatcher (Node::advance_peers was the only caller of set_cold_budget_division), and the successor took over the turns that the predecessor still held. The division is logged when it changes, gauge cold_budget_parts.

--- a/src/control/cold_start.rs
+++ b/src/control/cold_start.rs
@@ -86,6 +86,14 @@
     pub part_index: usize,
 }
 
+impl BudgetDivision {
+    /// Returns the division for one of two processes of a dispatcher that both serve: each has half of its part.
+    pub fn halved(self, is_first: bool) -> BudgetDivision {
+        let part_index = 2 * self.part_index + usize::from(!is_first);
+        BudgetDivision { parts: 2 * self.parts, part_index, ..self }
+    }
+}
+
 impl Router {
     /// Sets how a cold worker's budget is divided. With `None`, the settings apply: each router has one part.
     pub fn set_cold_budget_division(&mut self, division: Option<BudgetDivision>) {
--- a/src/node.rs
+++ b/src/node.rs
@@ -229,6 +229,7 @@
             node.engine.enable_tracing();
         }
         node.reserve_descriptor();
+        node.divide_cold_budget();
         node.publish_list();
         node.update_accepting();
         node.connect_brokers();
--- a/src/node/peering.rs
+++ b/src/node/peering.rs
@@ -49,17 +49,38 @@
         let load = self.engine.open_requests() * 1_000 / self.settings.max_open.max(1);
         peers.announce(serving, self.counters.version_number.get(), load.min(1_000) as u16);
         peers.advance(self.now);
-        if let Some(division) = peers.changed_division(self.now) {
-            self.engine.set_cold_budget_division(Some(BudgetDivision {
-                alive: division.alive,
-                parts: division.divisor,
-                part_index: division.part_index,
-            }));
+        if peers.changed_division(self.now).is_some() {
+            self.divide_cold_budget();
         }
         self.send_state_to_peer();
         self.take_list_from_peer();
     }
 
+    /// Passes this process's part of a cold worker's budget to the core: the dispatcher's part, or half of it while two
+    /// processes of the dispatcher serve.
+    pub(super) fn divide_cold_budget(&mut self) {
+        let division = self.peers.as_ref().and_then(Peers::division);
+        let of_group = division.map(|division| BudgetDivision {
+            alive: division.alive,
+            parts: division.divisor,
+            part_index: division.part_index,
+        });
+        let count = self.settings.module.dispatcher_count;
+        let by_settings =
+            BudgetDivision { alive: count, parts: count, part_index: self.settings.module.own_index };
+        let whole = of_group.unwrap_or(by_settings);
+        let divided = if self.handover.other_process_runs() {
+            whole.halved(self.handover.has_successor())
+        } else {
+            whole
+        };
+        if self.counters.cold_budget_parts.replace(divided.parts as u64) != divided.parts as u64 {
+            let BudgetDivision { alive, parts, part_index } = divided;
+            info!(alive, parts, part_index, "a cold worker's budget is divided anew");
+        }
+        self.engine.set_cold_budget_division(Some(divided));
+    }
+
     /// Returns when the peers' timer is next due.
     pub(super) fn peers_deadline(&self) -> u64 {
         let search = if self.needs_list_from_peer() { self.now + PEER_SEARCH_INTERVAL_US } else { u64::MAX };
--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -114,6 +114,7 @@
         module.load_orders_allowed &=
             !shared || !(self.handover.has_successor() || self.handover.serves_without_state());
         self.engine.configure(&module, new_places, bounds);
+        self.divide_cold_budget();
         self.pool.set_limits(pool_limits);
         self.thrift.set_limits(self.now, front_limits);
     }
--- a/tests/fleet/cold_sum.rs
+++ b/tests/fleet/cold_sum.rs
@@ -114,9 +114,9 @@
             assert!(successor.restore(now, self.simulation.routers[predecessor].learned()), "a usable state");
             let entries = super::entries(list);
             successor.handle(now, &Event::Workers { complete: true, entries }, &mut vec![]);
-            let part = |part_index| Some(BudgetDivision { alive: routers, parts: 2 * routers, part_index });
-            successor.set_cold_budget_division(part(2 * predecessor + 1));
-            self.simulation.routers[predecessor].set_cold_budget_division(part(2 * predecessor));
+            let whole = BudgetDivision { alive: routers, parts: routers, part_index: predecessor };
+            successor.set_cold_budget_division(Some(whole.halved(false)));
+            self.simulation.routers[predecessor].set_cold_budget_division(Some(whole.halved(true)));
             pairs.push((predecessor, self.simulation.routers.len()));
             self.simulation.routers.push(successor);
         }
--- a/tests/sockets/restarts.rs
+++ b/tests/sockets/restarts.rs
@@ -1,11 +1,11 @@
 //! Tests of workers whose process is replaced under the same id: whatever the list says of the new process, and however it
 //! arrives, the worker gets no more requests than the budget of a cold one.
 
-use crate::stand::{Client, ListEntry, Names, Program, Reply, config_at, fields, until};
+use crate::stand::{Client, ListEntry, Names, Program, Reply, config_at, fields, folder, until};
 use ochreward_rig::worker::{Power, Worker};
 use serde_json::{Value, json};
 use std::io::Read;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -240,3 +240,21 @@
     let _ = connection.read_to_end(&mut sent);
     assert_eq!(String::from_utf8_lossy(&sent), "", "the request was sent to the restarted worker");
 }
+
+/// A predecessor and its successor once took the turns of one part each, twice what the dispatcher may send.
+#[test]
+fn both_processes_of_a_handover_share_one_part_of_a_cold_workers_budget() {
+    let (worker, names) = (Worker::start(), Names::start());
+    let configuration = config_at(&[worker.address], &names);
+    let (socket, folder) = (TcpListener::bind("127.0.0.1:0").expect("a free port"), folder());
+    let parts = |program: &Program| program.counters()["cold_budget_parts"];
+    let predecessor = Program::beside(&socket, &folder, &configuration);
+    predecessor.until_ready();
+    assert_eq!(parts(&predecessor), 1);
+    let successor = Program::beside(&socket, &folder, &configuration);
+    successor.until_ready();
+    assert_eq!(parts(&successor), 2);
+    until("the predecessor keeps its whole part", || parts(&predecessor) == 2);
+    predecessor.kill();
+    until("the successor does not take the whole part", || parts(&successor) == 1);
+}
