Soak: worker restarts under one id, again while warming, ids that return, kills in series, crowds

Need: the soak gave each new worker a new id, so that no process stood behind an id after another, and no worker told a start twice. Notices of drains and starts name the worker's process. Bounds are as they were.

--- a/crates/rig/examples/soak.rs
+++ b/crates/rig/examples/soak.rs
@@ -26,6 +26,9 @@
     /// Length of each run in minutes; the default is 12 s
     #[arg(long)]
     minutes: Option<f64>,
+    /// Leave out worker restarts, kills in series and crowds, as in cases recorded before the soak had them
+    #[arg(long)]
+    without_restarts: bool,
     /// Rule that a stub violates on purpose, so that the run must fail
     #[arg(long, value_parser = parse_rule)]
     plant: Option<Rule>,
@@ -74,7 +77,10 @@
         (0, BTreeMap::<&str, u64>::new(), BTreeMap::<Rule, usize>::new());
     let mut failed = Vec::new();
     for seed in arguments.seed..arguments.seed + arguments.runs {
-        let plan = Plan::draw(seed, length_ms);
+        let mut plan = Plan::draw(seed, length_ms);
+        if !arguments.without_restarts {
+            plan.add_worker_restarts();
+        }
         let build = Build { program: program.clone(), shim: arguments.shim.clone() };
         let summary = format!(
             "{} dispatchers, {} workers, {} clients each, {} extra clients, {} events, failing calls {}, clock step {} ms, {:?}",
--- a/crates/rig/src/soak/client.rs
+++ b/crates/rig/src/soak/client.rs
@@ -7,7 +7,7 @@
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -18,6 +18,8 @@
 const LATE_ANSWER_WAIT: Duration = Duration::from_millis(3_500);
 /// The longest pause between two requests, in milliseconds.
 const MAX_PAUSE_MS: u64 = 60;
+/// The pause between two requests in a crowd.
+const CROWD_PAUSE: Duration = Duration::from_millis(1);
 /// The interval between attempts to connect.
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(20);
 /// How many of a thousand requests the client cancels, and for how many it closes its connection.
@@ -48,6 +50,8 @@
     pub deadlines_ms: [u64; 3],
     /// The false record that the client writes, to verify that the judge finds it.
     pub planted: Option<PlantedRecord>,
+    /// The client sends without pauses until this time.
+    pub crowd_until: Arc<AtomicU64>,
 }
 
 /// A false record that a client writes on purpose.
@@ -90,7 +94,8 @@
     };
     while !over.load(Ordering::SeqCst) {
         let pause_ms = client_state.below(MAX_PAUSE_MS);
-        std::thread::sleep(Duration::from_millis(pause_ms));
+        let in_crowd = client_state.recorder.now() < client_state.settings.crowd_until.load(Ordering::SeqCst);
+        std::thread::sleep(if in_crowd { CROWD_PAUSE } else { Duration::from_millis(pause_ms) });
         if client_state.connect() {
             client_state.send_request();
         } else {
--- a/crates/rig/src/soak/judge.rs
+++ b/crates/rig/src/soak/judge.rs
@@ -13,6 +13,8 @@
 const LATE_ANSWER_US: Micros = 500_000;
 /// An attempt may begin this long after its client abandoned the request.
 const ABANDONED_US: Micros = 100_000;
+/// A dispatcher counts as told of a start this long after it, whether an answer has told it or not.
+const MAX_TOLD_DELAY_US: Micros = 7_000_000;
 /// A started process must be ready within this time.
 const MAX_READY_US: Micros = 10_000_000;
 
@@ -188,13 +190,26 @@
     }
 }
 
-/// Returns when each process of each dispatcher first received a notice for each worker.
-fn first_notices(records: &Records) -> HashMap<(Dispatcher, usize, &str), Micros> {
+/// A process of a dispatcher, and a process of a worker that it was told of: the worker's id and its start.
+type Told<'a> = (Dispatcher, usize, &'a str, u64);
+
+/// Returns when each process of each dispatcher first received a notice that a process of a worker drains or was removed.
+fn first_drain_notices(records: &Records) -> HashMap<Told<'_>, Micros> {
     let mut first = HashMap::new();
     for notice in &records.drain_notices {
-        let at = first
-            .entry((notice.dispatcher, notice.process_number, notice.worker.as_str()))
-            .or_insert(notice.at);
+        let told = (notice.dispatcher, notice.process_number, notice.worker.as_str(), notice.started_ms);
+        let at = first.entry(told).or_insert(notice.at);
+        *at = notice.at.min(*at);
+    }
+    first
+}
+
+/// Returns when each process of each dispatcher was first told of the start of a process of a worker.
+fn first_start_notices(records: &Records) -> HashMap<Told<'_>, Micros> {
+    let mut first = HashMap::new();
+    for notice in &records.start_notices {
+        let told = (notice.dispatcher, notice.process_number, notice.worker.as_str(), notice.started_ms);
+        let at = first.entry(told).or_insert(notice.at);
         *at = notice.at.min(*at);
     }
     first
@@ -209,17 +224,18 @@
     starts
 }
 
+/// Returns the number of the dispatcher's process that ran when a line arrived.
+fn sending_process(starts: &BTreeMap<Dispatcher, Vec<(Micros, usize)>>, arrival: &Arrival) -> Option<usize> {
+    let started = starts.get(&arrival.dispatcher)?;
+    started.iter().rev().find(|(at, _)| *at <= arrival.at).map(|(_, process_number)| *process_number)
+}
+
 fn check_drain(records: &Records, limits: RuleLimits, violations: &mut Vec<Violation>) {
-    let (notices, starts) = (first_notices(records), process_starts(records));
+    let (notices, starts) = (first_drain_notices(records), process_starts(records));
     for arrival in records.arrivals.iter().filter(|a| a.read_on_arrival) {
-        let started = starts.get(&arrival.dispatcher).map_or(&[][..], Vec::as_slice);
-        let Some((_, process_number)) = started.iter().rev().find(|(at, _)| *at <= arrival.at) else {
-            continue;
-        };
-        let Some(notified_at) = notices.get(&(arrival.dispatcher, *process_number, arrival.worker.as_str()))
-        else {
-            continue;
-        };
+        let Some(process_number) = sending_process(&starts, arrival) else { continue };
+        let told = (arrival.dispatcher, process_number, arrival.worker.as_str(), arrival.started_ms);
+        let Some(notified_at) = notices.get(&told) else { continue };
         let due = notified_at.saturating_add(limits.drain_grace + SLACK_US);
         // A line is recorded late by as much as the worker's thread was delayed.
         if arrival.at > due + SCHEDULING_DELAY_US {
@@ -273,33 +289,48 @@
     }
 }
 
-/// Compares the requests of each cold worker in a window with the largest number that a warm worker has handled in one. The
-/// tolerance of two or three square roots and a constant covers the random variation of counts.
+/// Compares the requests of each cold worker's process in a window with the largest number that a warm worker has handled in one.
+/// The tolerance of two or three square roots and a constant covers the random variation of counts. A window breaks the rule
+/// if more than two thirds of it came from dispatchers that had been told of the start.
 fn check_failback(records: &Records, limits: RuleLimits, violations: &mut Vec<Violation>) {
     let requests: Vec<&Arrival> = records.arrivals.iter().filter(|a| a.request.is_some()).collect();
     let capacity = CapacityEstimate::from_warm_workers(&requests, limits.overload_window);
-    let mut cold = BTreeMap::<&str, Vec<&Arrival>>::new();
-    for arrival in requests.iter().filter(|a| a.cold_since.is_some()) {
-        cold.entry(&arrival.worker).or_default().push(arrival);
+    let (notices, starts) = (first_start_notices(records), process_starts(records));
+    let was_told = |arrival: &Arrival| {
+        let process_number = sending_process(&starts, arrival)?;
+        let told = (arrival.dispatcher, process_number, arrival.worker.as_str(), arrival.started_ms);
+        let at = notices.get(&told).copied().unwrap_or(Micros::MAX);
+        let due = arrival.cold_since?.saturating_add(MAX_TOLD_DELAY_US);
+        Some(at.min(due) <= arrival.at)
+    };
+    let mut cold = BTreeMap::<(&str, Micros), Vec<(&Arrival, bool)>>::new();
+    for arrival in requests {
+        let Some(cold_since) = arrival.cold_since else { continue };
+        let told = was_told(arrival).unwrap_or(true);
+        cold.entry((&arrival.worker, cold_since)).or_default().push((arrival, told));
     }
-    for (worker, arrivals) in cold {
+    for ((worker, cold_since), arrivals) in cold {
         let mut first = 0;
-        for (index, last) in arrivals.iter().enumerate() {
-            while arrivals[first].at + limits.overload_window <= last.at {
+        for (index, (last, _)) in arrivals.iter().enumerate() {
+            while arrivals[first].0.at + limits.overload_window <= last.at {
                 first += 1;
             }
-            let age = last.at.saturating_sub(last.cold_since.unwrap_or_default());
+            let age = last.at.saturating_sub(cold_since);
             if age >= limits.warm_after {
                 break;
             }
-            let got = (index + 1 - first) as f64;
+            let window = &arrivals[first..=index];
+            let got = window.len() as f64;
+            let told = window.iter().filter(|(_, told)| *told).count();
             let warmed_up = (1.0 - limits.cold_share) * age as f64 / limits.warm_after as f64;
             let allowed = limits.overload_multiple * (limits.cold_share + warmed_up) * capacity.at(last.at);
             let tolerance =
                 if allowed < 30.0 { 3.0 * allowed.sqrt() + 3.0 } else { 2.0 * allowed.sqrt() + 2.0 };
-            if got > allowed + tolerance {
+            if got > allowed + tolerance && 3 * told > 2 * window.len() {
                 let what = format!(
-                    "{worker} got {got} requests in a window that allows {allowed:.1} + {tolerance:.1}"
+                    "{worker} got {got} requests, {told} of them of dispatchers that were told, in a window that allows {allowed:.1} + \
+                     {tolerance:.1}, {} ms after its start",
+                    age / 1_000
                 );
                 violations.push(Violation { rule: Rule::Failback, at: last.at, what });
                 break;
--- a/crates/rig/src/soak/judge/tests.rs
+++ b/crates/rig/src/soak/judge/tests.rs
@@ -35,6 +35,7 @@
         stated_timeout_ms: None,
         ran,
         cold_since: None,
+        started_ms: 0,
     }
 }
 
@@ -110,7 +111,13 @@
 
 #[test]
 fn a_send_after_the_drain_grace_violates_drain_only_for_the_notified_process() {
-    let notice = DrainNotice { dispatcher: 0, process_number: 0, worker: "a".to_string(), at: 2_000_000 };
+    let notice = DrainNotice {
+        dispatcher: 0,
+        process_number: 0,
+        worker: "a".to_string(),
+        started_ms: 0,
+        at: 2_000_000,
+    };
     let records = |at, started: &[(Micros, usize)]| Records {
         arrivals: vec![arrival("a", at, true)],
         drain_notices: vec![notice.clone()],
--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -9,6 +9,8 @@
 pub const DEFAULT_RUN_MS: u64 = 12_000;
 /// No event begins in this last part of a run, so that the effects of earlier events can end.
 const QUIET_TAIL_MS: u64 = 5_000;
+/// Distinguishes the generator of worker restarts from that of the other events.
+const RESTARTS_SEED: u64 = 0x7265_7374_6172_7473;
 /// No event begins in this first part of a run, so that all processes are up before the first one.
 const QUIET_HEAD_MS: u64 = 500;
 
@@ -42,6 +44,14 @@
     Kill(u64),
     /// The name services answer nothing for this many milliseconds.
     SilenceNames(u64),
+    /// A listed worker's process ends, and another one starts under its id and address this many milliseconds later.
+    RestartWorker(u64, u64),
+    /// The worker that was restarted last is restarted again, after this many milliseconds without a process.
+    RestartWorkerAgain(u64),
+    /// The worker that stopped last is listed again under its id: at its address (`true`), or at another one.
+    ReturnWorker(bool),
+    /// All clients send without pauses for this many milliseconds.
+    Crowd(u64),
 }
 
 /// Fault rates of the name service, per thousand answers unless a field says otherwise.
@@ -154,6 +164,43 @@
         plan
     }
 
+    /// Adds events in which the process behind a worker's id is replaced, some dispatchers are killed in series, and in some runs a
+    /// crowd. They are drawn by a generator of their own, so that the other events of a seed stay as they are.
+    pub fn add_worker_restarts(&mut self) {
+        let mut draw = SeededDraw(Pcg32::seed_from_u64(self.seed ^ RESTARTS_SEED));
+        let last_ms = self.length_ms.saturating_sub(QUIET_TAIL_MS).max(QUIET_HEAD_MS + 1);
+        for _ in 0..2 + self.length_ms / 6_000 + draw.below(3) {
+            let at_ms = draw.between(QUIET_HEAD_MS, last_ms);
+            self.events.push((at_ms, Event::RestartWorker(draw.below(1 << 16), draw.below(600))));
+            if draw.one_in(2) {
+                let again_ms = at_ms + draw.between(700, 3_000);
+                self.events.push((again_ms, Event::RestartWorkerAgain(draw.below(400))));
+            }
+            if draw.one_in(3) {
+                self.add_kill_series(&mut draw, at_ms);
+            }
+        }
+        if draw.one_in(2) {
+            let at_ms = draw.between(QUIET_HEAD_MS, last_ms);
+            self.events.push((at_ms, Event::Remove(draw.below(1 << 16))));
+            // The removed worker runs on for a time, and returns after its end.
+            self.events.push((at_ms + draw.between(2_600, 4_000), Event::ReturnWorker(draw.one_in(2))));
+        }
+        if draw.one_in(3) {
+            let at_ms = draw.between(QUIET_HEAD_MS, last_ms);
+            self.events.push((at_ms, Event::Crowd(draw.between(1_000, 4_000))));
+        }
+        self.events.sort_by_key(|(at_ms, _)| *at_ms);
+    }
+
+    /// Kills a dispatcher about the time of a worker's restart, and again soon after it has started.
+    fn add_kill_series(&mut self, draw: &mut SeededDraw, at_ms: u64) {
+        let selector = draw.below(1 << 16);
+        let first_ms = at_ms + draw.below(400);
+        self.events.push((first_ms, Event::Kill(selector)));
+        self.events.push((first_ms + draw.between(500, 1_500), Event::Kill(selector)));
+    }
+
     fn service(draw: &mut SeededDraw) -> ServiceFaults {
         let mut rate_up_to = |max: u64| if draw.one_in(2) { draw.below(max + 1) } else { 0 };
         ServiceFaults {
--- a/crates/rig/src/soak/record.rs
+++ b/crates/rig/src/soak/record.rs
@@ -104,6 +104,23 @@
     pub ran: bool,
     /// When the worker started, if it started cold.
     pub cold_since: Option<Micros>,
+    /// The start that the list announces for the worker's process, in Unix milliseconds; 0 for long ago.
+    pub started_ms: u64,
+}
+
+/// The first answer, or the configuration, that told a process of the start of a worker's process.
+#[derive(Clone, Debug)]
+pub struct StartNotice {
+    /// The dispatcher that was told.
+    pub dispatcher: Dispatcher,
+    /// The dispatcher's process, counted from 0 over its restarts.
+    pub process_number: usize,
+    /// The worker.
+    pub worker: String,
+    /// The start, in Unix milliseconds.
+    pub started_ms: u64,
+    /// When the answer was delivered.
+    pub at: Micros,
 }
 
 /// An answer that listed a worker as draining, or from which a removed worker was absent.
@@ -115,6 +132,8 @@
     pub process_number: usize,
     /// The worker.
     pub worker: String,
+    /// The start of the process that drains or was removed, in Unix milliseconds; 0 for long ago.
+    pub started_ms: u64,
     /// When the answer was delivered.
     pub at: Micros,
 }
@@ -160,6 +179,8 @@
     pub arrivals: Vec<Arrival>,
     /// Written by name services.
     pub drain_notices: Vec<DrainNotice>,
+    /// Written by name services.
+    pub start_notices: Vec<StartNotice>,
     /// Written by the run.
     pub processes: Vec<ProcessRecord>,
     /// Panics in the processes' standard error, and processes that never became ready.
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -15,7 +15,7 @@
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -68,6 +68,7 @@
     Resume(u32),
     RemoveFromList(String),
     StopWorker(String),
+    StartWorkerAgain(String, SocketAddr),
 }
 
 struct DispatcherState {
@@ -89,6 +90,11 @@
     list_history: Arc<ListHistory>,
     workers: BTreeMap<String, Worker>,
     old_addresses: Vec<SocketAddr>,
+    /// The ids and addresses of workers that were removed from the list and stopped.
+    stopped_workers: Vec<(String, SocketAddr)>,
+    last_restarted: Option<String>,
+    /// Clients send without pauses until this time.
+    crowd_until: Arc<AtomicU64>,
     next_worker: usize,
     dispatchers: Vec<DispatcherState>,
     deferred: Vec<(Micros, DeferredAction)>,
@@ -147,6 +153,9 @@
             list_history: Arc::default(),
             workers: BTreeMap::new(),
             old_addresses: Vec::new(),
+            stopped_workers: Vec::new(),
+            last_restarted: None,
+            crowd_until: Arc::default(),
             next_worker: 0,
             dispatchers: Vec::new(),
             deferred: Vec::new(),
@@ -186,10 +195,17 @@
     fn start_worker(&mut self, address: Option<SocketAddr>, cold: bool) -> Entry {
         let id = format!("s{}", self.next_worker);
         self.next_worker += 1;
+        self.start_worker_as(id, address, cold)
+    }
+
+    /// Starts a worker's process under this id, at this address if it is free.
+    fn start_worker_as(&mut self, id: String, address: Option<SocketAddr>, cold: bool) -> Entry {
+        let started_ms = if cold { unix_ms() } else { 0 };
         let settings = |address| worker::WorkerSettings {
             id: id.clone(),
             address,
             cold,
+            started_ms,
             seed: self.plan.seed << 8 | self.next_worker as u64,
             records_per_line: match self.plant {
                 Some(Rule::Duplicate) => 2,
@@ -201,7 +217,6 @@
         let worker = Worker::start(settings(address), self.recorder.clone());
         let worker =
             worker.or_else(|_| Worker::start(settings(None), self.recorder.clone())).expect("a worker");
-        let started_ms = if cold { unix_ms() } else { 0 };
         let entry = Entry { id: id.clone(), address: worker.address, draining: false, started_ms };
         self.workers.insert(id, worker);
         entry
@@ -324,7 +339,15 @@
                 };
                 let seed = self.plan.seed << 20 | (n as u64) << 10 | number;
                 let deadlines_ms = self.plan.deadlines_ms;
-                let settings = client::ClientSettings { dispatcher: n, number, seed, deadlines_ms, planted };
+                let crowd_until = self.crowd_until.clone();
+                let settings = client::ClientSettings {
+                    dispatcher: n,
+                    number,
+                    seed,
+                    deadlines_ms,
+                    planted,
+                    crowd_until,
+                };
                 let (endpoint, recorder) = (dispatcher.endpoint.clone(), self.recorder.clone());
                 let stopped = self.stopped.clone();
                 clients.push(std::thread::spawn(move || client::run(settings, endpoint, recorder, &stopped)));
@@ -383,8 +406,10 @@
                 if let Some(mut worker) = self.workers.remove(&id) {
                     worker.stop();
                     self.old_addresses.push(worker.address);
+                    self.stopped_workers.push((id, worker.address));
                 }
             }
+            DeferredAction::StartWorkerAgain(id, address) => self.start_worker_again(id, address),
         }
     }
 
@@ -451,6 +476,19 @@
             Event::Reload(selector, initial_list) => self.reload(selector, initial_list),
             Event::Stop(selector) => self.stop(selector),
             Event::Kill(selector) => self.kill(selector),
+            Event::RestartWorker(selector, ms) => {
+                let Some(id) = self.ready_worker(selector) else { return };
+                self.restart_worker(id, ms);
+            }
+            Event::RestartWorkerAgain(ms) => {
+                let Some(id) = self.last_restarted.clone() else { return };
+                self.restart_worker(id, ms);
+            }
+            Event::ReturnWorker(same_address) => self.return_worker(same_address),
+            Event::Crowd(ms) => {
+                self.recorder.fault("crowd of requests");
+                self.crowd_until.fetch_max(now + ms * 1_000, Ordering::SeqCst);
+            }
             Event::SilenceNames(ms) => {
                 self.recorder.fault("name service silent");
                 self.dispatchers.iter().for_each(|m| m.service.silence_until(now + ms * 1_000));
@@ -468,6 +506,38 @@
         self.list_history.change(|entries| entries.push(entry));
     }
 
+    /// Ends a listed worker's process, and starts another one in its place after some milliseconds.
+    fn restart_worker(&mut self, id: String, ms: u64) {
+        let Some(mut worker) = self.workers.remove(&id) else { return };
+        worker.stop();
+        self.last_restarted = Some(id.clone());
+        self.schedule(ms * 1_000, DeferredAction::StartWorkerAgain(id, worker.address));
+    }
+
+    fn start_worker_again(&mut self, id: String, address: SocketAddr) {
+        let (_, entries) = self.list_history.now();
+        if !entries.iter().any(|e| e.id == id) || self.workers.contains_key(&id) {
+            return;
+        }
+        let new = self.start_worker_as(id.clone(), Some(address), true);
+        let is_cold = entries.iter().any(|e| {
+            e.id == id && new.started_ms.saturating_sub(e.started_ms) < limits(&self.plan).warm_after / 1_000
+        });
+        self.recorder.fault(if is_cold { "worker restarted while warming" } else { "worker restarted" });
+        self.list_history.change(|entries| {
+            for entry in entries.iter_mut().filter(|e| e.id == id) {
+                (entry.address, entry.started_ms) = (new.address, new.started_ms);
+            }
+        });
+    }
+
+    fn return_worker(&mut self, same_address: bool) {
+        let Some((id, address)) = self.stopped_workers.pop() else { return };
+        self.recorder.fault(if same_address { "worker returned" } else { "worker returned elsewhere" });
+        let entry = self.start_worker_as(id, Some(address).filter(|_| same_address), true);
+        self.list_history.change(|entries| entries.push(entry));
+    }
+
     fn pause(&mut self, selector: u64, time: Micros) {
         let Some(n) = self.serving_dispatcher(selector) else { return };
         let Some(pid) = self.dispatchers[n].program.as_ref().map(|p| p.child.id()) else { return };
--- a/crates/rig/src/soak/service.rs
+++ b/crates/rig/src/soak/service.rs
@@ -3,13 +3,13 @@
 //! tells the process that a worker drains or has been removed.
 
 use super::plan::ServiceFaults;
-use super::record::{Dispatcher, DrainNotice, Micros, Recorder};
+use super::record::{Dispatcher, DrainNotice, Micros, Recorder, StartNotice};
 use crate::name_service::ListEntry;
 use crate::relay::bind_udp_and_tcp;
 use rand_pcg::Pcg32;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap};
+use std::collections::{BTreeSet, BinaryHeap, HashSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -36,6 +36,15 @@
     pub started_ms: u64,
 }
 
+/// A process of a worker: the worker's id, and the start that the list announces.
+type WorkerProcess = (String, u64);
+
+impl Entry {
+    fn process(&self) -> WorkerProcess {
+        (self.id.clone(), self.started_ms)
+    }
+}
+
 /// All versions of the list; version 0 is the initial one.
 #[derive(Default)]
 pub struct ListHistory {
@@ -68,13 +77,13 @@
         versions.get(process_number as usize).cloned().unwrap_or_default()
     }
 
-    /// Returns the ids that are in any version from `from` on and not among these entries.
-    fn removed_since(&self, from: u64, entries: &[Entry]) -> Vec<String> {
+    /// Returns the processes of ids that are in any version from `from` on and not among these entries.
+    fn removed_since(&self, from: u64, entries: &[Entry]) -> Vec<WorkerProcess> {
         let versions = self.versions.lock().expect("the list");
         let present: BTreeSet<&str> = entries.iter().map(|e| e.id.as_str()).collect();
-        let seen: BTreeSet<&str> =
-            versions.iter().skip(from as usize).flatten().map(|e| e.id.as_str()).collect();
-        seen.difference(&present).map(ToString::to_string).collect()
+        let listed = versions.iter().skip(from as usize).flatten();
+        let seen: BTreeSet<WorkerProcess> = listed.map(Entry::process).collect();
+        seen.into_iter().filter(|(id, _)| !present.contains(id.as_str())).collect()
     }
 }
 
@@ -85,9 +94,27 @@
     first_version: u64,
 }
 
-/// A delayed answer: when it is due, its order number, its bytes, the address it goes to, the process it was made for, and the
-/// workers that it shows to be draining or removed.
-type DelayedAnswer = Reverse<(Micros, u64, Vec<u8>, SocketAddr, usize, Vec<String>)>;
+/// A delayed answer: when it is due, its order number, its bytes, the address it goes to, the process it was made for, and what it
+/// tells that process.
+type DelayedAnswer = Reverse<(Micros, u64, Vec<u8>, SocketAddr, usize, News)>;
+
+/// What an answer tells of the workers' processes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct News {
+    draining_or_removed: Vec<WorkerProcess>,
+    started: Vec<WorkerProcess>,
+}
+
+impl News {
+    fn of(entries: &[Entry]) -> News {
+        let draining = entries.iter().filter(|e| e.draining);
+        let started = entries.iter().filter(|e| e.started_ms > 0);
+        News {
+            draining_or_removed: draining.map(Entry::process).collect(),
+            started: started.map(Entry::process).collect(),
+        }
+    }
+}
 
 struct Shared {
     dispatcher: Dispatcher,
@@ -96,6 +123,8 @@
     recorder: Arc<Recorder>,
     /// The numberings of the current process and of the one before it.
     numberings: Mutex<(Numbering, Numbering)>,
+    /// The starts that each process of the dispatcher has been told of.
+    known_starts: Mutex<HashSet<(usize, WorkerProcess)>>,
     silent_until: AtomicU64,
     stopped: AtomicBool,
     /// Whether it records drain notices that it never sent: a planted fault.
@@ -128,6 +157,7 @@
             history,
             recorder,
             numberings: Mutex::default(),
+            known_starts: Mutex::default(),
             silent_until: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
             false_notices,
@@ -146,9 +176,9 @@
         numberings.1 = numberings.0;
         numberings.0 = Numbering { process_number, first_version: version };
         // The configuration shows which workers are draining and which are absent.
-        let draining_or_removed = entries.iter().filter(|e| e.draining).map(|e| e.id.clone());
-        let gone = self.shared.history.removed_since(0, &entries);
-        self.shared.record_notices(process_number, draining_or_removed.chain(gone).collect());
+        let mut news = News::of(&entries);
+        news.draining_or_removed.extend(self.shared.history.removed_since(0, &entries));
+        self.shared.record_notices(process_number, news);
         entries
     }
 
@@ -166,10 +196,10 @@
     }
 }
 
-/// An answer, and the workers that it shows to be draining or removed.
+/// An answer, and what it tells.
 struct Answer {
     bytes: Vec<u8>,
-    draining_or_removed: Vec<String>,
+    news: News,
 }
 
 impl Shared {
@@ -184,15 +214,12 @@
             }
             let now = self.recorder.now();
             while delayed.peek().is_some_and(|next| next.0.0 <= now) {
-                let Some(Reverse((_, _, bytes, to, process_number, draining_or_removed))) = delayed.pop()
-                else {
-                    break;
-                };
+                let Some(Reverse((_, _, bytes, to, process_number, news))) = delayed.pop() else { break };
                 if now < self.silent_until.load(Ordering::SeqCst) {
                     continue;
                 }
                 let _ = socket.send_to(&bytes, to);
-                self.record_notices(process_number, draining_or_removed);
+                self.record_notices(process_number, news);
             }
         }
     }
@@ -234,25 +261,25 @@
         if error {
             const SERVER_FAILURE: u8 = 2;
             answer.bytes[3] |= SERVER_FAILURE;
-            answer.draining_or_removed.clear();
+            answer.news = News::default();
         }
         if cut || answer.bytes.len() > MAX_DATAGRAM_BYTES {
             answer.bytes.truncate((answer.bytes.len() / 2).min(MAX_DATAGRAM_BYTES));
             // The program may use or discard a truncated answer, so it counts as no notice.
-            answer.draining_or_removed.clear();
+            answer.news = News::default();
         }
         if answer.bytes.len() > 8_192 {
             self.recorder.fault("answer over 8,192 bytes");
         }
         if doubled {
-            let (bytes, draining_or_removed) = (answer.bytes.clone(), Vec::new());
+            let (bytes, news) = (answer.bytes.clone(), News::default());
             delayed.push(Reverse((
                 now + first_delay + second_delay,
                 answer_count << 1 | 1,
                 bytes,
                 from,
                 process_number,
-                draining_or_removed,
+                news,
             )));
         }
         delayed.push(Reverse((
@@ -261,7 +288,7 @@
             answer.bytes,
             from,
             process_number,
-            answer.draining_or_removed,
+            answer.news,
         )));
     }
 
@@ -275,10 +302,9 @@
         // A version from before the process's start keeps the serial number that it had for the previous process.
         let numbering = if sent_version < current.first_version { previous } else { current };
         let serial = 1 + sent_version.saturating_sub(numbering.first_version);
-        let mut draining_or_removed: Vec<String> =
-            entries.iter().filter(|e| e.draining).map(|e| e.id.clone()).collect();
+        let mut news = News::of(&entries);
         if versions_back == 0 && !duplicate_id {
-            draining_or_removed.extend(self.history.removed_since(current.first_version, &entries));
+            news.draining_or_removed.extend(self.history.removed_since(current.first_version, &entries));
         }
         let listed_entry = |entry: &Entry| ListEntry {
             id: entry.id.clone(),
@@ -295,19 +321,22 @@
             listed.push(ListEntry { address: unused_address, ..first });
         }
         if self.false_notices {
-            draining_or_removed.extend(entries.iter().take(1).map(|e| e.id.clone()));
+            news.draining_or_removed.extend(entries.iter().take(1).map(Entry::process));
         }
-        Answer { bytes: crate::stand::list_answer(query, serial as u32, &listed), draining_or_removed }
+        Answer { bytes: crate::stand::list_answer(query, serial as u32, &listed), news }
     }
 
-    fn record_notices(&self, process_number: usize, draining_or_removed: Vec<String>) {
-        let at = self.recorder.now();
+    fn record_notices(&self, process_number: usize, news: News) {
+        let (at, dispatcher) = (self.recorder.now(), self.dispatcher);
+        let mut known = self.known_starts.lock().expect("the known starts");
+        let new = news.started.into_iter().filter(|start| known.insert((process_number, start.clone())));
+        let start_notices: Vec<StartNotice> = new
+            .map(|(worker, started_ms)| StartNotice { dispatcher, process_number, worker, started_ms, at })
+            .collect();
         self.recorder.write(|r| {
-            r.drain_notices.extend(draining_or_removed.into_iter().map(|worker| DrainNotice {
-                dispatcher: self.dispatcher,
-                process_number,
-                worker,
-                at,
+            r.start_notices.extend(start_notices);
+            r.drain_notices.extend(news.draining_or_removed.into_iter().map(|(worker, started_ms)| {
+                DrainNotice { dispatcher, process_number, worker, started_ms, at }
             }));
         });
     }
--- a/crates/rig/src/soak/worker.rs
+++ b/crates/rig/src/soak/worker.rs
@@ -60,6 +60,7 @@
 struct Shared {
     id: String,
     cold_since: Option<Micros>,
+    started_ms: u64,
     recorder: Arc<Recorder>,
     rng: Mutex<Pcg32>,
     connections: Mutex<Vec<TcpStream>>,
@@ -88,6 +89,8 @@
     pub address: Option<SocketAddr>,
     /// Whether it starts cold.
     pub cold: bool,
+    /// The start that the list announces, in Unix milliseconds; 0 for long ago.
+    pub started_ms: u64,
     /// The seed of its random choices.
     pub seed: u64,
     /// How often each received line is recorded; more than once is a planted fault.
@@ -113,6 +116,7 @@
         let shared = Arc::new(Shared {
             id: settings.id.clone(),
             cold_since: settings.cold.then(|| recorder.now()),
+            started_ms: settings.started_ms,
             recorder,
             rng: Mutex::new(Pcg32::seed_from_u64(settings.seed)),
             connections: Mutex::default(),
@@ -250,6 +254,7 @@
             stated_timeout_ms: read_time.stated_timeout_ms,
             ran,
             cold_since,
+            started_ms: self.started_ms,
         };
         self.recorder.write(|r| r.arrivals.extend(std::iter::repeat_n(arrival, self.records_per_line)));
     }
