Answers to requests sent before a restart say nothing of the new process

Callers would see: requests sent to a restarted worker as if it held a warm replica, and a wrong slowness and loss record for it. Cause: Router::close_attempt (src/control.rs) took a late answer of the process before for one of the present process: the replica counted as loaded, and its losses, slowness and load report were learned. Change: an attempt sent before the worker's start ends only in the request's own records. Measured: answer_to_a_request_sent_before_a_restart... failed before ('left 1, right 0' copies), passes after; tests/control.rs 44 passed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -1106,7 +1106,7 @@
         attempt.rejected = outcome == Outcome::Full;
         attempt.may_have_run =
             !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Miss);
-        let e = attempt.estimate;
+        let (e, sent_at) = (attempt.estimate, attempt.sent_at);
         let class = self.functions[function].class;
         if let Some(crowd) = crowd.filter(|_| found == ReplicaStatus::Warm) {
             let f = &self.functions[function];
@@ -1120,7 +1120,9 @@
             self.class_estimates[class].concurrency.add(now, self.half_life_us, concurrency);
         }
         let w = &mut self.workers[worker];
-        if let Some(sample) = loss.filter(|_| found != ReplicaStatus::LoadFailed) {
+        // The process that the attempt was sent to is another than the present one.
+        let sent_before_restart = w.ready_at.is_some_and(|ready_at| sent_at < ready_at);
+        if let Some(sample) = loss.filter(|_| found != ReplicaStatus::LoadFailed && !sent_before_restart) {
             w.losses_by_class[class].add_limited(now, self.half_life_us, sample, MAX_WORKER_SAMPLES);
             self.zone_losses.entry(w.zone).or_default().add_limited(
                 now,
@@ -1132,14 +1134,21 @@
             w.last_answer = if sample == 0.0 { now } else { w.last_answer };
         }
         w.open_attempts.retain(|o| *o != (id, number));
-        if outcome == Outcome::Ok {
-            w.answers.add(now, self.half_life_us, 1.0);
+        let replica = replica_mut(w, worker, &mut self.functions[function], function);
+        replica.own_in_flight = replica.own_in_flight.saturating_sub(1);
+        if sent_before_restart {
+            if outcome == Outcome::Ok {
+                self.functions.served(now, function);
+            }
+            return;
         }
         if let Some(held) = self.report_fields.held(report) {
             w.report = LoadReport::new(now, held, w.open_attempts.len());
         }
+        if outcome == Outcome::Ok {
+            w.answers.add(now, self.half_life_us, 1.0);
+        }
         let replica = replica_mut(w, worker, &mut self.functions[function], function);
-        replica.own_in_flight = replica.own_in_flight.saturating_sub(1);
         if let Some(crowd) = crowd {
             replica.others_in_flight = f64::from(crowd.saturating_sub(replica.own_in_flight));
         }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -2,6 +2,7 @@
 //! clock: each test passes events to a router and checks its actions.
 
 use ochreward::*;
+use serde_json::json;
 
 const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
@@ -1167,3 +1168,29 @@
     fresh.request(0, "f", 4 * S);
     assert_eq!(second_timers, timers(&fresh.out));
 }
+
+#[test]
+fn answer_to_a_request_sent_before_a_restart_says_nothing_of_the_new_process() {
+    let mut test = TestRouter::new(settings(), 1, 1);
+    test.warm_up(0, "f");
+    let id = test.request(0, "f", 4 * S);
+    test.now += 100 * MS;
+    let started = test.now;
+    test.list(true, vec![healthy(0, Some(started))]);
+    test.now += 10 * MS;
+    test.end_attempt(id, 0, Outcome::Ok, ReplicaStatus::Warm, 110 * MS);
+    let learned = serde_json::to_value(test.router.learned()).expect("a state that can be written");
+    let worker = &learned["workers"][0];
+    assert_eq!(worker["marks"]["0"]["copies"], 0, "the new process holds no replica");
+    assert_eq!((&worker["slow"]["weight"], &worker["answers"]["weight"]), (&json!(0.0), &json!(0.0)));
+    // An answer of the new process counts.
+    let id = (0..100).find_map(|_| {
+        test.now += 100 * MS;
+        let id = test.request(0, "f", 4 * S);
+        test.sent_to().map(|_| id)
+    });
+    test.now += 700 * MS;
+    test.end_attempt(id.expect("a permit"), 0, Outcome::Ok, ReplicaStatus::LoadStarted, 700 * MS);
+    let learned = serde_json::to_value(test.router.learned()).expect("a state that can be written");
+    assert_eq!(learned["workers"][0]["marks"]["0"]["copies"], 1);
+}
