Cold starts are logged with their budget; sends without a permit are counted

Change: Router reports each cold start's beginning and end (ColdStartReport, at most 256 held); the host logs capacity a second, parts, permits taken and lapsed. Counter cold_sends_without_permit, which must stay 0.

--- a/src/control.rs
+++ b/src/control.rs
@@ -31,8 +31,8 @@
 
 pub use budget::{Budget, Tokens, ZoneGate};
 use candidates::{ChoiceInputs, MAX_RENDEZVOUS_WORKERS, Rank, Search, min_by_key, min_key};
-pub use cold_start::BudgetDivision;
 use cold_start::ColdBudget;
+pub use cold_start::{BudgetDivision, ColdStartPhase, ColdStartReport};
 use evidence::DecayingMean;
 use fleet::FleetSums;
 use functions::FunctionTable;
@@ -261,6 +261,8 @@
     division: Option<BudgetDivision>,
     /// The rate at which each warm worker has served this router's requests, per microsecond, while any was warm.
     served_per_worker: f64,
+    /// Reports of cold starts that the host has not collected yet.
+    cold_start_reports: Vec<ColdStartReport>,
     budget: Budget,
     resend_tokens: f64,
     hedge_tokens: f64,
@@ -299,6 +301,7 @@
             counters: DecisionCounters::default(),
             division: None,
             served_per_worker: 0.0,
+            cold_start_reports: Vec::new(),
             budget: Budget::default(),
             resend_tokens: MAX_TOKENS,
             hedge_tokens: MAX_TOKENS,
@@ -358,6 +361,8 @@
     /// Handles one event and appends the resulting actions to `out`.
     pub fn handle(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
+        self.fleet.advance(self.now);
+        self.report_ended_cold_starts();
         match event {
             Event::Workers { complete, entries } => self.apply_worker_list(*complete, entries, out),
             Event::ListRefused if self.settings.list_on_request => out.push(Action::WatchWorkers),
@@ -954,6 +959,8 @@
             rejected: false,
             presumed_lost: false,
         });
+        let is_cold = w.ready_at.is_some_and(|at| self.now.saturating_sub(at) < self.settings.warm_after);
+        self.counters.cold_sends_without_permit += u64::from(is_cold && w.cold_budget == e.cold_budget);
         if w.cold_budget != e.cold_budget {
             self.counters.cold_turns += 1;
             w.cold_permits_taken += 1;
--- a/src/control/cold_start.rs
+++ b/src/control/cold_start.rs
@@ -14,6 +14,7 @@
 use crate::api::{Micros, WorkerId};
 use serde::{Deserialize, Serialize};
 
+const MICROS_PER_SECOND: f64 = 1e6;
 /// Share of a cold worker's budget that the routers use, where every permit is taken.
 const BUDGET_SHARE: f64 = 0.6;
 /// A cold worker attracts up to this multiple of its even share of a router's requests.
@@ -75,6 +76,42 @@
     }
 }
 
+impl ColdBudget {
+    /// Returns how many permits lapsed, if this many were taken.
+    fn lapsed(self, taken: u64) -> u64 {
+        (self.settled as u64).saturating_sub(taken)
+    }
+}
+
+/// What a cold start's report tells of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ColdStartPhase {
+    /// This router has learned of the start.
+    Begun,
+    /// The worker is warm.
+    Ended,
+}
+
+/// A worker's cold start, as this router sees it, for logs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ColdStartReport {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Whether its budget begins or has ended.
+    pub phase: ColdStartPhase,
+    /// Requests per second that each warm worker serves, estimated for all routers; 0 if unknown.
+    pub served_per_worker: f64,
+    /// Into how many parts the budget is divided.
+    pub parts: usize,
+    /// Permits that this router has taken.
+    pub taken: u64,
+    /// Permits that lapsed before one was taken, as far as was noticed.
+    pub lapsed: u64,
+}
+
+/// Limit of the reports that the host has not collected; further ones are dropped.
+const MAX_REPORTS: usize = 256;
+
 /// How routers divide the budget of a cold worker among them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BudgetDivision {
@@ -114,6 +151,36 @@
         ColdBudget::starting(self.now, position as f64 / parts as f64)
     }
 
+    /// Records the beginning or the end of a worker's cold start for the host.
+    pub(super) fn report_cold_start(&mut self, slot: usize, phase: ColdStartPhase) {
+        if self.cold_start_reports.len() >= MAX_REPORTS {
+            return;
+        }
+        let worker = &self.workers[slot];
+        let BudgetDivision { alive, parts, .. } = self.budget_division();
+        let report = ColdStartReport {
+            worker: worker.id.clone(),
+            phase,
+            served_per_worker: self.served_per_worker * alive as f64 * MICROS_PER_SECOND,
+            parts,
+            taken: worker.cold_permits_taken,
+            lapsed: worker.cold_budget.lapsed(worker.cold_permits_taken),
+        };
+        self.cold_start_reports.push(report);
+    }
+
+    /// Records the cold starts that have ended.
+    pub(super) fn report_ended_cold_starts(&mut self) {
+        for slot in self.fleet.take_warmed_up() {
+            self.report_cold_start(slot, ColdStartPhase::Ended);
+        }
+    }
+
+    /// Returns the reports since the last call.
+    pub fn take_cold_start_reports(&mut self) -> Vec<ColdStartReport> {
+        std::mem::take(&mut self.cold_start_reports)
+    }
+
     /// Returns the share of its full capacity that a worker is sure to have now.
     pub(super) fn present_share(&self, worker: &Worker) -> f64 {
         let Some(age) = worker.ready_at.map(|r| self.now.saturating_sub(r)) else { return 1.0 };
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -73,6 +73,8 @@
     warm_answers: DecayingSum,
     /// Workers that are not warm yet, by the time at which they become warm.
     warming: BTreeSet<(Micros, usize)>,
+    /// Workers that have become warm since they were last taken.
+    warmed_up: Vec<usize>,
     /// Workers of full weight, by the time until which they have it.
     full: BTreeSet<(Micros, usize)>,
     full_sum: f64,
@@ -116,6 +118,7 @@
         while let Some((_, slot)) = self.warming.first().copied().filter(|(at, _)| *at <= now) {
             self.apply(slot, now, false);
             self.workers[slot].warm_at = None;
+            self.warmed_up.push(slot);
             self.apply(slot, now, true);
         }
         while let Some((_, slot)) = self.full.first().copied().filter(|(until, _)| *until <= now) {
@@ -182,6 +185,11 @@
         }
     }
 
+    /// Returns the workers that have become warm since the last call.
+    pub(super) fn take_warmed_up(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.warmed_up)
+    }
+
     /// Counts an answer of a worker, which the caller has added to the worker's own.
     pub(super) fn add_answer(&mut self, now: Micros, slot: usize) {
         self.advance(now);
--- a/src/control/slots.rs
+++ b/src/control/slots.rs
@@ -3,6 +3,7 @@
 //! Slots are dense indexes into the router's tables. Those of unlisted workers and of idle or evicted functions are reused,
 //! so that the tables stay bounded however many workers and functions come and go. No requests are decided here.
 
+use super::cold_start::ColdStartPhase;
 use super::fleet::{FleetSums, TimeConstants};
 use super::functions::{MIN_FUNCTION_BYTES, RetiredFunction};
 use super::renewal::{RenewalQueue, ReplicaUse};
@@ -17,6 +18,8 @@
 pub struct DecisionCounters {
     /// Attempts that used one of this router's turns at a cold worker.
     pub cold_turns: u64,
+    /// Attempts at cold workers that used no permit: always 0.
+    pub cold_sends_without_permit: u64,
     /// Times that an idle replica was due for renewal but got no load order, since other routers use it often enough. One
     /// replica may be counted repeatedly, at most once in a hundredth of the load window (50 ms with a window of 5 s).
     pub renewals_skipped: u64,
@@ -56,6 +59,13 @@
     added: Vec<(usize, WorkerId)>,
 }
 
+/// The slot of a worker in a list.
+struct AssignedSlot {
+    slot: usize,
+    /// The worker had no slot before.
+    is_new: bool,
+}
+
 impl Router {
     /// Sets the bound of the function table in bytes, at least [`MIN_FUNCTION_BYTES`].
     pub fn set_max_function_bytes(&mut self, bytes: usize) {
@@ -95,7 +105,7 @@
                 self.unlisted.insert(slot);
             }
         }
-        for (slot, entry) in self.assign_slots(entries).into_iter().zip(entries) {
+        for (AssignedSlot { slot, is_new }, entry) in self.assign_slots(entries).into_iter().zip(entries) {
             let cold_budget = self.starting_cold_budget(&entry.worker);
             let worker = &mut self.workers[slot];
             worker.listed = entry.standing != WorkerStatus::Removed;
@@ -103,6 +113,7 @@
                 // An entry that reports a worker as gone carries no valid zone or cell.
                 (worker.zone, worker.cell) = (entry.zone, entry.cell);
             }
+            let is_new_start = entry.ready_at.is_some() && (entry.ready_at != worker.ready_at || is_new);
             if entry.ready_at.is_some() && entry.ready_at != worker.ready_at {
                 // A restarted process holds no replicas, and what was observed of its predecessor does not apply to it.
                 worker.ready_at = entry.ready_at;
@@ -124,6 +135,9 @@
                 self.unlisted.insert(slot)
             };
             self.fleet.update(slot, worker, self.now);
+            if is_new_start && self.is_cold(&self.workers[slot]) {
+                self.report_cold_start(slot, ColdStartPhase::Begun);
+            }
         }
         self.update_preference_order();
     }
@@ -150,18 +164,16 @@
         self.counters
     }
 
-    /// Returns the slots of the workers in a list and assigns slots to new ones. Slots of unlisted workers are reused, since
+    /// Returns the slots of the workers in a list, and assigns slots to new ones. Slots of unlisted workers are reused, since
     /// otherwise a fleet whose workers are replaced all the time would fill the memory.
-    fn assign_slots(&mut self, entries: &[WorkerEntry]) -> Vec<usize> {
+    fn assign_slots(&mut self, entries: &[WorkerEntry]) -> Vec<AssignedSlot> {
         let mut changes = RingChanges::default();
         let mut reusable = self.reusable_slots().into_iter();
         let mut slots = Vec::with_capacity(entries.len());
         for entry in entries {
-            let slot = match self.worker_ids.get(&entry.worker) {
-                Some(slot) => *slot,
-                None => self.add_worker(entry, reusable.next(), &mut changes),
-            };
-            slots.push(slot);
+            let known = self.worker_ids.get(&entry.worker).copied();
+            let slot = known.unwrap_or_else(|| self.add_worker(entry, reusable.next(), &mut changes));
+            slots.push(AssignedSlot { slot, is_new: known.is_none() });
         }
         self.ring.update(&changes.removed, &changes.added);
         slots
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,7 +12,7 @@
     Action, Class, Effect, Event, FunctionId, KeyScope, Micros, Outcome, ReplicaStatus, RequestId, Settings,
     WorkerEntry, WorkerId,
 };
-use crate::control::{Budget, BudgetDivision, LearnedState, Router};
+use crate::control::{Budget, BudgetDivision, ColdStartReport, LearnedState, Router};
 use crate::counters::{Counters, count};
 use siphasher::sip::SipHasher13;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -250,6 +250,11 @@
         self.bounds = bounds;
     }
 
+    /// Returns what there is to log of cold starts since the last call.
+    pub fn take_cold_start_reports(&mut self) -> Vec<ColdStartReport> {
+        self.router.take_cold_start_reports()
+    }
+
     /// Sets how the budget of a worker in cold start is divided among dispatchers that know of each other:
     /// the number of serving dispatchers, the number of parts, and the index of this dispatcher's part.
     /// `None` restores the division of the settings.
@@ -543,6 +548,7 @@
             self.router.handle(now, &event, &mut actions);
             let tally = self.router.counters();
             self.counters.cold_turns.set(tally.cold_turns);
+            self.counters.cold_sends_without_permit.set(tally.cold_sends_without_permit);
             self.counters.loads_left.set(tally.renewals_skipped);
             actions.drain(..).for_each(|action| self.apply(now, action));
             self.actions = actions;
--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -158,6 +158,7 @@
     log_events_dropped: "Log events dropped by the rate limit.",
     worker_restarts: "Executors whose process was replaced under their id.",
     worker_starts_limited: "Starts of executors that count from their list, because the announced time cannot be right or none was announced.",
+    cold_sends_without_permit: "Attempts at cold executors that used no slot: always 0.",
     cold_budget_parts: "Parts into which a cold executor's budget is divided; this process has one.",
     loop_lag_most_us: "The longest iteration of the event loop, in microseconds.",
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -312,6 +312,7 @@
             }
             self.deliver_messages();
             self.release_held_writes();
+            self.log_cold_starts();
             if self.finish_shutdown() {
                 return Ok(());
             }
--- a/src/node/listing.rs
+++ b/src/node/listing.rs
@@ -5,6 +5,7 @@
 
 use super::Node;
 use crate::api::{WorkerEntry, WorkerId};
+use crate::control::{ColdStartPhase, ColdStartReport};
 use crate::counters::count;
 use crate::discovery::{Executor, ExecutorState, NewStart, StartRange};
 use tracing::info;
@@ -109,6 +110,22 @@
         );
     }
 
+    /// Logs the cold starts that have begun and ended at the core.
+    pub(super) fn log_cold_starts(&mut self) {
+        for report in self.engine.take_cold_start_reports() {
+            let ColdStartReport { worker, phase, served_per_worker, parts, taken, lapsed } = report;
+            let capacity_per_s = served_per_worker as u64;
+            match phase {
+                ColdStartPhase::Begun => {
+                    info!(worker = &*worker, capacity_per_s, parts, "a cold worker's budget begins");
+                }
+                ColdStartPhase::Ended => {
+                    info!(worker = &*worker, capacity_per_s, parts, taken, lapsed, "a cold worker is warm");
+                }
+            }
+        }
+    }
+
     /// Returns when a worker's process started, if that is not long ago.
     fn started_at(&self, worker: &WorkerId) -> Option<u64> {
         self.worker_starts.get(worker).and_then(|start| start.started_at)
