--- a/tests/fleet/cold_sum.rs
+++ b/tests/fleet/cold_sum.rs
@@ -17,6 +17,8 @@
 const DEFAULT_SEEDS: u64 = 6;
 /// The requests that a worker runs at a time.
 const CORES: usize = 4;
+/// The same for a small worker.
+const SMALL_CORES: usize = 1;
 /// The run time of a request at a warm worker.
 const RUN_TIME: Micros = 100 * MS;
 /// Requests per second that a warm worker can serve.
@@ -52,6 +54,8 @@
     Handovers,
     /// The warm workers are removed one after the other until only cold ones are left.
     Removals,
+    /// The workers that restart have a quarter of the others' cores.
+    SmallWorkers,
 }
 
 struct Fleet {
@@ -61,6 +65,8 @@
     functions: u32,
     /// When each core of each worker is free.
     free_at: BTreeMap<String, [Micros; CORES]>,
+    /// Cold workers have fewer cores.
+    small: bool,
 }
 
 /// The worst window of a cold worker.
@@ -77,11 +83,12 @@
 
     /// Runs until `end`; the `cold` workers started at `start`.
     fn run(&mut self, end: Micros, cold: &[String], start: Micros) {
-        let free_at = &mut self.free_at;
+        let (free_at, small) = (&mut self.free_at, self.small);
         let serve = |now: Micros, worker: &str| {
             let share = if cold.iter().any(|c| c == worker) { present_share(now - start) } else { 1.0 };
             let cores = free_at.entry(worker.to_string()).or_default();
-            let core = cores.iter_mut().min().expect("a core");
+            let count = if small && share < 1.0 { SMALL_CORES } else { CORES };
+            let core = cores[..count].iter_mut().min().expect("a core");
             let begin = now.max(*core);
             (begin < now + MAX_QUEUE_TIME).then(|| {
                 *core = begin + (RUN_TIME as f64 / share) as Micros;
@@ -153,6 +160,7 @@
         rate: 0.0,
         functions: 0,
         free_at: BTreeMap::new(),
+        small: disturbance == Disturbance::SmallWorkers,
     };
     let workers = 4 + (fleet.draw() * 9.0) as usize;
     let cold_count = if disturbance == Disturbance::SecondRestart { 1 } else { workers / 2 };
@@ -224,8 +232,9 @@
         for at in fleet.simulation.sent_to(id, first, Micros::MAX) {
             window.push_back(at);
             window.retain(|sent| *sent + BUDGET_WINDOW > at);
-            let budget =
-                BUDGET_MULTIPLE * WORKER_CAPACITY * present_share(at - start) * BUDGET_WINDOW as f64 / 1e6;
+            let cores = if fleet.small { SMALL_CORES } else { CORES };
+            let capacity = WORKER_CAPACITY * cores as f64 / CORES as f64;
+            let budget = BUDGET_MULTIPLE * capacity * present_share(at - start) * BUDGET_WINDOW as f64 / 1e6;
             let allowed = budget + 2.0 * budget.sqrt() + 2.0;
             let excess = window.len() as f64 / allowed;
             if excess > worst.excess {
@@ -293,3 +302,8 @@
 fn handovers_between_routers_do_not_overload_cold_workers() {
     assert_budget_is_kept(Disturbance::Handovers);
 }
+
+#[test]
+fn small_worker_beside_large_ones_is_not_overloaded() {
+    assert_budget_is_kept(Disturbance::SmallWorkers);
+}
