A cold worker's budget follows its size where the list's weights are sizes

Callers would see: a small worker that starts beside large ones fails under the ramp of a mean one. Change: where weight_source is nominal or rough, a cold worker's budget is scaled by its weight over the mean of the warm workers', at most 1, since sizes are rough. A list that differs in weights alone is the same list. 'live' and 'off' are no sizes.

--- a/benches/lists.rs
+++ b/benches/lists.rs
@@ -26,6 +26,7 @@
         cell: n % 4,
         state: ExecutorState::Ready,
         started_ms: 0,
+        weight: 0,
     };
     (0..size).rev().map(executor).collect()
 }
@@ -48,6 +49,7 @@
             cell: executor.cell,
             standing: WorkerStatus::Healthy,
             ready_at: None,
+            size: 0.0,
         };
         let entries = executors.iter().enumerate().map(entry).collect();
         let event = Event::Workers { complete: true, entries };
--- a/benches/routing.rs
+++ b/benches/routing.rs
@@ -43,7 +43,15 @@
 }
 
 fn worker_entry(n: usize, standing: WorkerStatus, ready_at: Option<Micros>) -> WorkerEntry {
-    WorkerEntry { worker: format!("s-{n:05}").into(), zone: n % 9, kind: 0, cell: n % 4, standing, ready_at }
+    WorkerEntry {
+        worker: format!("s-{n:05}").into(),
+        zone: n % 9,
+        kind: 0,
+        cell: n % 4,
+        standing,
+        ready_at,
+        size: 0.0,
+    }
 }
 
 /// Distribution of requests over the functions.
--- a/benches/scale/hollow.rs
+++ b/benches/scale/hollow.rs
@@ -491,6 +491,7 @@
         cell: 0,
         state: ExecutorState::Ready,
         started_ms: 0,
+        weight: 0,
     }
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -153,6 +153,8 @@
     pub standing: WorkerStatus,
     /// When its process last started, if that was recent.
     pub ready_at: Option<Micros>,
+    /// Its size relative to other workers', in any unit; 0 if unknown.
+    pub size: f64,
 }
 
 /// The result of an attempt, a probe or a load order.
--- a/src/bin/ochreward-adapter/main.rs
+++ b/src/bin/ochreward-adapter/main.rs
@@ -15,7 +15,7 @@
 /// The routers of this process, by instance id; they share no state.
 #[derive(Default)]
 struct Host {
-    routers: BTreeMap<String, (Router, wire::RemarkSettings)>,
+    routers: BTreeMap<String, (Router, wire::InputSettings)>,
     /// Scratch buffer for the actions of one event.
     actions: Vec<Action>,
 }
@@ -29,7 +29,7 @@
             match body {
                 wire::Body::Spawn { rng_seed, config } => {
                     let router = Router::new(config.settings(), rng_seed, now);
-                    self.routers.insert(instance, (router, config.remark_settings()));
+                    self.routers.insert(instance, (router, config.input_settings()));
                 }
                 wire::Body::Stop => {
                     self.routers.remove(&instance);
--- a/src/bin/ochreward-adapter/wire.rs
+++ b/src/bin/ochreward-adapter/wire.rs
@@ -119,6 +119,8 @@
     condition: String,
     #[serde(default, deserialize_with = "or_default")]
     ready_at_us: u64,
+    #[serde(default, deserialize_with = "or_default")]
+    units: f64,
 }
 
 /// The configuration of an instance.
@@ -150,6 +152,8 @@
     tick_us: u64,
     #[serde(deserialize_with = "or_default")]
     discovery: String,
+    #[serde(deserialize_with = "or_default")]
+    weight_source: String,
 }
 
 /// A class of requests.
@@ -233,20 +237,23 @@
     origin: f64,
 }
 
-/// Which parts of the `remark` of an answer the instance's workers fill in.
+/// What an instance's settings say of the events that it gets.
 #[derive(Clone, Copy, Default)]
-pub struct RemarkSettings {
+pub struct InputSettings {
     /// Whether `remark % 8` reports what the request found.
     pub reports_found: bool,
     /// Whether `remark / 8` is the number of requests for the function at the worker.
     pub reports_crowd: bool,
+    /// Whether `units` of a listed worker are its size.
+    pub units_are_sizes: bool,
 }
 
 impl Config {
-    pub fn remark_settings(&self) -> RemarkSettings {
-        RemarkSettings {
+    pub fn input_settings(&self) -> InputSettings {
+        InputSettings {
             reports_found: self.family_info.tells_warm,
             reports_crowd: self.family_info.notes_peers_in_hand,
+            units_are_sizes: matches!(self.weight_source.as_str(), "nominal" | "rough"),
         }
     }
 
@@ -326,7 +333,7 @@
     }
 }
 
-fn found(status: &str, remark: u32, settings: RemarkSettings) -> api::ReplicaStatus {
+fn found(status: &str, remark: u32, settings: InputSettings) -> api::ReplicaStatus {
     match (status, remark % 8) {
         ("S", 1) if settings.reports_found => api::ReplicaStatus::Warm,
         ("S", 2) if settings.reports_found => api::ReplicaStatus::LoadStarted,
@@ -336,7 +343,7 @@
     }
 }
 
-fn listing(item: Item) -> api::WorkerEntry {
+fn listing(item: Item, settings: InputSettings) -> api::WorkerEntry {
     api::WorkerEntry {
         worker: item.worker.into(),
         zone: item.failure_domain,
@@ -348,15 +355,16 @@
             _ => api::WorkerStatus::Draining,
         },
         ready_at: (item.ready_at_us > 0).then_some(item.ready_at_us),
+        size: if settings.units_are_sizes { item.units } else { 0.0 },
     }
 }
 
 /// Converts a wire event to an event of the library; returns `None` for those that have no counterpart.
-pub fn event(body: Body, remarks: RemarkSettings) -> Option<api::Event> {
+pub fn event(body: Body, remarks: InputSettings) -> Option<api::Event> {
     Some(match body {
         Body::Endpoints { how, .. } if how == "refused" => api::Event::ListRefused,
         Body::Endpoints { how, items } => {
-            let entries = items.into_iter().map(listing).collect();
+            let entries = items.into_iter().map(|item| listing(item, remarks)).collect();
             api::Event::Workers { complete: how != "changes", entries }
         }
         Body::Ask { rid, unit_key, per_copy, org, warm_ms, predicted_us, retry, ttl_us, class } => {
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -15,6 +15,11 @@
 /// The longest time after the start of an executor's drain in which new attempts may still go to it, in microseconds.
 pub const MAX_DRAIN_GRACE_US: u64 = 250_000;
 
+/// Weights of SRV records are this multiple of those in the configuration's list.
+const LIST_WEIGHT_FACTOR: u32 = 10;
+/// The sources of weights that are the workers' sizes.
+const SIZE_SOURCES: [&str; 2] = ["nominal", "rough"];
+
 /// The number of removed class names that one change of settings adds at most.
 const MAX_REMOVED_CLASS_NAMES: usize = 256;
 
@@ -303,6 +308,7 @@
                 cell: entry.get("cell").integer_or(0) as usize,
                 state,
                 started_ms: entry.get("startedAtMs").integer_or(0),
+                weight: LIST_WEIGHT_FACTOR * entry.get("weight").integer_in(0, u64::from(u16::MAX), 0) as u32,
             };
             list.insert(id, executor);
         }
@@ -365,7 +371,11 @@
             .collect(),
         drain_grace: rules.get("stop_sending_within_us").integer_or(MAX_DRAIN_GRACE_US),
         longest_deadline_us: module.classes.iter().map(|c| c.deadline).max().unwrap_or_default(),
-        vocabulary: ZoneAndKindNames { zones: texts(&key.get("zones")), kinds: texts(&key.get("kinds")) },
+        vocabulary: ZoneAndKindNames {
+            zones: texts(&key.get("zones")),
+            kinds: texts(&key.get("kinds")),
+            weights_are_sizes: SIZE_SOURCES.contains(&key.get("weight_source").text_or("off").as_str()),
+        },
         streams_per_conn: limits.get("streams_per_conn").integer_in(1, 1 << 16, 32) as usize,
         connect_timeout: limits.get("connect_timeout_us").integer_in(1_000, 60_000_000, 250_000),
         keepalive: limits.get("keepalive_us").integer_in(1_000_000, 1 << 40, 15_000_000),
--- a/src/control.rs
+++ b/src/control.rs
@@ -261,6 +261,8 @@
     division: Option<BudgetDivision>,
     /// The rate at which each warm worker has served this router's requests, per microsecond, while any was warm.
     served_per_worker: f64,
+    /// The mean size of the warm workers, while any was warm.
+    mean_worker_size: f64,
     /// Reports of cold starts that the host has not collected yet.
     cold_start_reports: Vec<ColdStartReport>,
     budget: Budget,
@@ -301,6 +303,7 @@
             counters: DecisionCounters::default(),
             division: None,
             served_per_worker: 0.0,
+            mean_worker_size: 0.0,
             cold_start_reports: Vec::new(),
             budget: Budget::default(),
             resend_tokens: MAX_TOKENS,
@@ -1176,8 +1179,6 @@
         match outcome {
             Outcome::Ok => {
                 self.fleet.add_answer(now, worker);
-                self.served_per_worker =
-                    self.fleet.answer_rate_per_warm_worker(now).unwrap_or(self.served_per_worker);
                 self.functions.served(now, function);
                 self.renewals.push(ReplicaUse { at: now, worker, function });
                 replica.last_used = now;
@@ -1215,6 +1216,9 @@
             Outcome::NotSent if e.cold && replica.own_in_flight == 0 => replica.loading = None,
             Outcome::Timeout | Outcome::Cancelled | Outcome::NotSent => {}
         }
+        if outcome == Outcome::Ok {
+            self.update_worker_capacity();
+        }
     }
 }
 
--- a/src/control/candidates/tests.rs
+++ b/src/control/candidates/tests.rs
@@ -93,7 +93,8 @@
         self.next_worker += 1;
         let (zone, cell) = (n % ZONES, n % 4);
         let worker = format!("w{n}").into();
-        let listing = WorkerEntry { worker, zone, kind: 0, cell, standing: WorkerStatus::Healthy, ready_at };
+        let listing =
+            WorkerEntry { worker, zone, kind: 0, cell, standing: WorkerStatus::Healthy, ready_at, size: 0.0 };
         self.workers.insert(n, listing.clone());
         listing
     }
--- a/src/control/cold_start.rs
+++ b/src/control/cold_start.rs
@@ -210,7 +210,8 @@
     /// Returns the rate of this router's permits for a cold worker.
     fn cold_permit_rate(&self, worker: &Worker, function: &Function, inputs: &ChoiceInputs) -> PermitRate {
         let window = self.settings.fall_window as f64;
-        let full_rate = self.settings.fall_multiple * self.worker_capacity(function);
+        let capacity = self.size_share(worker) * self.worker_capacity(function);
+        let full_rate = self.settings.fall_multiple * capacity;
         let budget = full_rate * self.present_share(worker) * window;
         let requests_per_window = self.expected_requests(window, inputs);
         let lifetime_windows = lifetime_windows(requests_per_window);
@@ -235,6 +236,22 @@
         (self.served_per_worker * alive).max(1.0 / run_time.max(1.0))
     }
 
+    /// Returns the capacity of a worker by its size, relative to the mean warm worker's: at most 1, since sizes are rough.
+    fn size_share(&self, worker: &Worker) -> f64 {
+        let comparable = worker.size > 0.0 && self.mean_worker_size > 0.0;
+        if comparable { (worker.size / self.mean_worker_size).min(1.0) } else { 1.0 }
+    }
+
+    /// Updates what is known of the warm workers; without any, the last values stay.
+    pub(super) fn update_worker_capacity(&mut self) {
+        if let Some(rate) = self.fleet.answer_rate_per_warm_worker(self.now) {
+            self.served_per_worker = rate;
+        }
+        if let Some(size) = self.fleet.mean_warm_size() {
+            self.mean_worker_size = size;
+        }
+    }
+
     /// Returns how many of this router's requests may prefer a cold worker in a window.
     fn expected_requests(&self, window: f64, inputs: &ChoiceInputs) -> f64 {
         let fleet_capacity = inputs.capacity.get_or_init(|| self.capacity()).max(1.0);
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -28,6 +28,7 @@
     warm_at: Option<Micros>,
     slowness: DecayingMean,
     answers: DecayingMean,
+    size: f64,
     weight: Weight,
     /// Its key in the order by slowness.
     slowness_key: Option<u64>,
@@ -71,6 +72,8 @@
     /// Workers that are up and warm, and the requests that they served.
     warm: usize,
     warm_answers: DecayingSum,
+    /// The sum of the sizes of these workers.
+    warm_size: f64,
     /// Workers that are not warm yet, by the time at which they become warm.
     warming: BTreeSet<(Micros, usize)>,
     /// Workers that have become warm since they were last taken.
@@ -107,6 +110,7 @@
             warm_at: warm_at.filter(|at| now < *at),
             slowness: worker.slowness,
             answers: worker.answers,
+            size: worker.size,
             ..WorkerTerms::default()
         };
         self.apply(slot, now, true);
@@ -136,7 +140,7 @@
             terms.weight = weight(terms, now, half_life);
             terms.slowness_key = Some(mean.map_or(f64::INFINITY, |m| m.max(0.0) + 0.0).to_bits());
         }
-        let WorkerTerms { up, warm_at, slowness, answers, weight, slowness_key } = *terms;
+        let WorkerTerms { up, warm_at, slowness, answers, size, weight, slowness_key } = *terms;
         let sign = if adds { 1.0 } else { -1.0 };
         match (up, adds) {
             (true, true) => self.up += 1,
@@ -146,6 +150,7 @@
         if up && warm_at.is_none() {
             self.warm = if adds { self.warm + 1 } else { self.warm.saturating_sub(1) };
             self.warm_answers.add(now, half_life, sign * answers.samples(now, half_life));
+            self.warm_size += sign * size;
         }
         let change = |index: &mut BTreeSet<(u64, usize)>, key: u64| {
             if adds {
@@ -174,7 +179,7 @@
             self.full_sum = 0.0;
         }
         if self.warm == 0 {
-            self.warm_answers = DecayingSum::default();
+            (self.warm_answers, self.warm_size) = (DecayingSum::default(), 0.0);
         }
         if self.decaying == 0 {
             (self.decaying_sum, self.decaying_weight) = Default::default();
@@ -209,6 +214,11 @@
         (self.warm > 0).then(|| answers * std::f64::consts::LN_2 / half_life / self.warm as f64)
     }
 
+    /// Returns the mean size of the warm workers; `None` if none is warm and up.
+    pub(super) fn mean_warm_size(&self) -> Option<f64> {
+        (self.warm > 0).then(|| self.warm_size / self.warm as f64)
+    }
+
     /// Returns the number of workers that are up.
     pub(super) fn up(&self) -> usize {
         self.up
--- a/src/control/learned.rs
+++ b/src/control/learned.rs
@@ -188,7 +188,7 @@
         self.ring.update(&[], &all);
         self.update_preference_order();
         self.rebuild_indexes();
-        self.served_per_worker = self.fleet.answer_rate_per_warm_worker(self.now).unwrap_or_default();
+        self.update_worker_capacity();
         true
     }
 }
--- a/src/control/slots.rs
+++ b/src/control/slots.rs
@@ -112,6 +112,7 @@
             if entry.standing != WorkerStatus::Removed {
                 // An entry that reports a worker as gone carries no valid zone or cell.
                 (worker.zone, worker.cell) = (entry.zone, entry.cell);
+                worker.size = if entry.size.is_finite() { entry.size.max(0.0) } else { 0.0 };
             }
             let is_new_start = entry.ready_at.is_some() && (entry.ready_at != worker.ready_at || is_new);
             if entry.ready_at.is_some() && entry.ready_at != worker.ready_at {
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -59,6 +59,9 @@
     /// While cold: the permits that this router may still take.
     #[serde(default)]
     pub(super) cold_budget: ColdBudget,
+    /// Its size relative to other workers'; 0 if unknown.
+    #[serde(default)]
+    pub(super) size: f64,
     /// Requests that it served, for their rate.
     #[serde(default)]
     pub(super) answers: DecayingMean,
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -49,7 +49,10 @@
     let mut engine = Engine::new(&settings, 1, 0, bounds, Rc::default());
     let (zone, kind, cell, ready_at) = (0, 0, 0, None);
     let standing = crate::api::WorkerStatus::Healthy;
-    engine.set_workers(0, vec![WorkerEntry { worker: "w".into(), zone, kind, cell, standing, ready_at }]);
+    engine.set_workers(
+        0,
+        vec![WorkerEntry { worker: "w".into(), zone, kind, cell, standing, ready_at, size: 0.0 }],
+    );
     engine
 }
 
--- a/src/discovery/dns.rs
+++ b/src/discovery/dns.rs
@@ -156,6 +156,7 @@
 struct Target {
     name: String,
     priority: u16,
+    weight: u16,
     port: u16,
 }
 
@@ -256,9 +257,9 @@
     }
     match record_type {
         TYPE_SRV if owner == service => {
-            let (priority, _weight, port) = (reader.u16()?, reader.u16()?, reader.u16()?);
+            let (priority, weight, port) = (reader.u16()?, reader.u16()?, reader.u16()?);
             let name = reader.name()?;
-            records.targets.push(Target { name, priority, port });
+            records.targets.push(Target { name, priority, weight, port });
         }
         TYPE_SOA => {
             reader.name()?;
@@ -314,6 +315,7 @@
         cell: text("cell").parse().unwrap_or(0),
         state: target.state(),
         started_ms: host.started_ms(),
+        weight: u32::from(target.weight),
     })
 }
 
--- a/src/discovery/list.rs
+++ b/src/discovery/list.rs
@@ -18,8 +18,8 @@
     Draining,
 }
 
-/// An entry of the list.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+/// An entry of the list. Entries that differ in their weight alone are equal: it may vary from answer to answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Executor {
     /// Its id; a new executor may have the address of one that has left.
     pub id: WorkerId,
@@ -35,6 +35,19 @@
     pub state: ExecutorState,
     /// When it started, in Unix milliseconds, if recently; otherwise 0.
     pub started_ms: u64,
+    /// Its weight, in any unit; 0 if the list has none.
+    #[serde(default)]
+    pub weight: u32,
+}
+
+impl PartialEq for Executor {
+    fn eq(&self, other: &Executor) -> bool {
+        let compared = |e: &Executor| (e.address, e.cell, e.state, e.started_ms);
+        compared(self) == compared(other)
+            && self.id == other.id
+            && self.zone == other.zone
+            && self.kind == other.kind
+    }
 }
 
 /// The zone and machine kind names of the settings; the decision module refers to them by position.
@@ -44,6 +57,8 @@
     pub zones: Vec<String>,
     /// Machine kinds.
     pub kinds: Vec<String>,
+    /// Whether the weights of the list are the workers' sizes.
+    pub weights_are_sizes: bool,
 }
 
 impl ZoneAndKindNames {
@@ -62,6 +77,7 @@
                 ExecutorState::Draining => WorkerStatus::Draining,
             },
             ready_at,
+            size: if self.weights_are_sizes { f64::from(executor.weight) } else { 0.0 },
         }
     }
 }
--- a/src/discovery/starts/tests.rs
+++ b/src/discovery/starts/tests.rs
@@ -14,6 +14,7 @@
         cell: 0,
         state: crate::discovery::ExecutorState::Ready,
         started_ms: started_at / 1_000,
+        weight: 0,
     }
 }
 
--- a/src/discovery/tracker/tests.rs
+++ b/src/discovery/tracker/tests.rs
@@ -15,6 +15,7 @@
         cell: 0,
         state,
         started_ms: 0,
+        weight: 0,
     }
 }
 
--- a/src/discovery/validate/tests.rs
+++ b/src/discovery/validate/tests.rs
@@ -10,6 +10,7 @@
         cell: 0,
         state: ExecutorState::Ready,
         started_ms: 0,
+        weight: 0,
     }
 }
 
--- a/src/executor/pool/tests.rs
+++ b/src/executor/pool/tests.rs
@@ -34,6 +34,7 @@
         cell: 0,
         state,
         started_ms: 0,
+        weight: 0,
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,6 +53,7 @@
 //!     cell: 0,
 //!     standing: WorkerStatus::Healthy,
 //!     ready_at: None,
+//!     size: 0.0,
 //! };
 //! router.handle(0, &Event::Workers { complete: true, entries: vec![entry] }, &mut actions);
 //! let request = Event::Request {
--- a/src/peers/list_search/tests.rs
+++ b/src/peers/list_search/tests.rs
@@ -10,6 +10,7 @@
         cell: 0,
         state: ExecutorState::Ready,
         started_ms: 0,
+        weight: 0,
     };
     Offer { from: from.into(), serial, age: 0, executors: ports.iter().map(executor).collect() }
 }
--- a/src/zones/tests.rs
+++ b/src/zones/tests.rs
@@ -19,6 +19,7 @@
         cell: 0,
         state: ExecutorState::Ready,
         started_ms: 0,
+        weight: 0,
     };
     let list: Vec<Executor> = ["a", "b"].iter().flat_map(|z| (0..2).map(move |n| executor(z, n))).collect();
     zones.set_executors(&list, &["b".into(), "a".into()]);
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -179,6 +179,7 @@
         cell: n,
         standing: WorkerStatus::Healthy,
         ready_at,
+        size: 0.0,
     }
 }
 
--- a/tests/fleet/cold_sum.rs
+++ b/tests/fleet/cold_sum.rs
@@ -164,7 +164,8 @@
     };
     let workers = 4 + (fleet.draw() * 9.0) as usize;
     let cold_count = if disturbance == Disturbance::SecondRestart { 1 } else { workers / 2 };
-    let ids: Vec<String> = (0..workers).map(|n| format!("w{n}-{seed}")).collect();
+    let name = |n| if fleet.small && n < cold_count { super::SMALL_WORKER } else { "w" };
+    let ids: Vec<String> = (0..workers).map(|n| format!("{}{n}-{seed}", name(n))).collect();
     let cold: Vec<String> = ids[..cold_count].to_vec();
     let serving_capacity = WORKER_CAPACITY * (workers - cold_count) as f64;
     fleet.rate = serving_capacity * (0.4 + 0.5 * fleet.draw());
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -11,6 +11,9 @@
 
 const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
+/// Workers whose id begins so are of this size, the others of size 1.
+const SMALL_WORKER: &str = "small";
+const SMALL_WORKER_SIZE: f64 = 0.25;
 const FLEET_SIZES: [usize; 4] = [1, 2, 37, 100];
 
 fn settings(router_count: usize, own_index: usize) -> Settings {
@@ -90,6 +93,7 @@
         cell: 0,
         standing: WorkerStatus::Healthy,
         ready_at: *ready_at,
+        size: if name.starts_with(SMALL_WORKER) { SMALL_WORKER_SIZE } else { 1.0 },
     };
     workers.iter().map(entry).collect()
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -157,6 +157,7 @@
                 cell: n,
                 standing: WorkerStatus::Healthy,
                 ready_at: None,
+                size: 0.0,
             })
             .collect();
         let mut simulation = Simulation {
