Soak: a worker restarts early and again once it is warm, in every other run into a crowd

Change: Plan::add_worker_restarts restarts one worker at 0.5 s and again 6.1 to 6.4 s later; every other run has a crowd of 2.5 s around it.

--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -9,6 +9,8 @@
 pub const DEFAULT_RUN_MS: u64 = 12_000;
 /// No event begins in this last part of a run, so that the effects of earlier events can end.
 const QUIET_TAIL_MS: u64 = 5_000;
+/// The time in which the workers of a run become warm, in milliseconds.
+pub const WARM_UP_MS: u64 = 6_000;
 /// Distinguishes the generator of worker restarts from that of the other events.
 const RESTARTS_SEED: u64 = 0x7265_7374_6172_7473;
 /// No event begins in this first part of a run, so that all processes are up before the first one.
@@ -48,6 +50,8 @@
     RestartWorker(u64, u64),
     /// The worker that was restarted last is restarted again, after this many milliseconds without a process.
     RestartWorkerAgain(u64),
+    /// The worker that was restarted first is restarted again, after this many milliseconds without a process.
+    RestartFirstAgain(u64),
     /// The worker that stopped last is listed again under its id: at its address (`true`), or at another one.
     ReturnWorker(bool),
     /// All clients send without pauses for this many milliseconds.
@@ -180,6 +184,13 @@
                 self.add_kill_series(&mut draw, at_ms);
             }
         }
+        // One worker restarts early, and again once it is warm, in every other run into a crowd.
+        self.events.push((QUIET_HEAD_MS, Event::RestartWorker(draw.below(1 << 16), 0)));
+        let warm_again_ms = QUIET_HEAD_MS + WARM_UP_MS + draw.between(100, 400);
+        self.events.push((warm_again_ms, Event::RestartFirstAgain(draw.below(200))));
+        if draw.one_in(2) {
+            self.events.push((warm_again_ms.saturating_sub(500), Event::Crowd(2_500)));
+        }
         if draw.one_in(2) {
             let at_ms = draw.between(QUIET_HEAD_MS, last_ms);
             self.events.push((at_ms, Event::Remove(draw.below(1 << 16))));
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -4,7 +4,7 @@
 
 use super::client::{self, Endpoint, PlantedRecord};
 use super::judge::{self, Rule, RuleLimits, Violation};
-use super::plan::{Event, Plan};
+use super::plan::{Event, Plan, WARM_UP_MS};
 use super::record::{Dispatcher, Micros, ProcessEvent, ProcessRecord, Recorder, Records};
 use super::service::{Entry, ListHistory, Service};
 use super::worker::{self, Worker};
@@ -92,6 +92,7 @@
     old_addresses: Vec<SocketAddr>,
     /// The ids and addresses of workers that were removed from the list and stopped.
     stopped_workers: Vec<(String, SocketAddr)>,
+    first_restarted: Option<String>,
     last_restarted: Option<String>,
     /// Clients send without pauses until this time.
     crowd_until: Arc<AtomicU64>,
@@ -125,7 +126,7 @@
         overload_window: 1_500_000,
         overload_multiple: 2.0,
         cold_share: 0.15,
-        warm_after: 6_000_000,
+        warm_after: WARM_UP_MS * 1_000,
     }
 }
 
@@ -154,6 +155,7 @@
             workers: BTreeMap::new(),
             old_addresses: Vec::new(),
             stopped_workers: Vec::new(),
+            first_restarted: None,
             last_restarted: None,
             crowd_until: Arc::default(),
             next_worker: 0,
@@ -484,6 +486,10 @@
                 let Some(id) = self.last_restarted.clone() else { return };
                 self.restart_worker(id, ms);
             }
+            Event::RestartFirstAgain(ms) => {
+                let Some(id) = self.first_restarted.clone() else { return };
+                self.restart_worker(id, ms);
+            }
             Event::ReturnWorker(same_address) => self.return_worker(same_address),
             Event::Crowd(ms) => {
                 self.recorder.fault("crowd of requests");
@@ -510,6 +516,7 @@
     fn restart_worker(&mut self, id: String, ms: u64) {
         let Some(mut worker) = self.workers.remove(&id) else { return };
         worker.stop();
+        self.first_restarted.get_or_insert(id.clone());
         self.last_restarted = Some(id.clone());
         self.schedule(ms * 1_000, DeferredAction::StartWorkerAgain(id, worker.address));
     }
