A weight of the list never refuses a configuration

Cause: settings.rs read the weight as a whole number, a key that had not been read before. Change: weight and weight_source are read leniently (Key::lenient_number, lenient_text): what is no number or text counts as none; the schema leaves them unchecked.

--- a/crates/rig/src/soak/service.rs
+++ b/crates/rig/src/soak/service.rs
@@ -3,7 +3,7 @@
 //! tells the process that a worker drains or has been removed.
 
 use super::plan::ServiceFaults;
-use super::record::{Dispatcher, DrainNotice, Micros, Recorder, StartNotice};
+use super::record::{Dispatcher, Micros, Notice, Recorder};
 use crate::name_service::ListEntry;
 use crate::relay::bind_udp_and_tcp;
 use rand_pcg::Pcg32;
@@ -330,13 +330,17 @@
         let (at, dispatcher) = (self.recorder.now(), self.dispatcher);
         let mut known = self.known_starts.lock().expect("the known starts");
         let new = news.started.into_iter().filter(|start| known.insert((process_number, start.clone())));
-        let start_notices: Vec<StartNotice> = new
-            .map(|(worker, started_ms)| StartNotice { dispatcher, process_number, worker, started_ms, at })
+        let start_notices: Vec<Notice> = new
+            .map(|(worker, started_ms)| Notice { dispatcher, process_number, worker, started_ms, at })
             .collect();
         self.recorder.write(|r| {
             r.start_notices.extend(start_notices);
-            r.drain_notices.extend(news.draining_or_removed.into_iter().map(|(worker, started_ms)| {
-                DrainNotice { dispatcher, process_number, worker, started_ms, at }
+            r.drain_notices.extend(news.draining_or_removed.into_iter().map(|(worker, started_ms)| Notice {
+                dispatcher,
+                process_number,
+                worker,
+                started_ms,
+                at,
             }));
         });
     }
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -16,7 +16,7 @@
 pub const MAX_DRAIN_GRACE_US: u64 = 250_000;
 
 /// Weights of SRV records are this multiple of those in the configuration's list.
-const LIST_WEIGHT_FACTOR: u32 = 10;
+const LIST_WEIGHT_FACTOR: f64 = 10.0;
 /// The sources of weights that are the workers' sizes.
 const SIZE_SOURCES: [&str; 2] = ["nominal", "rough"];
 
@@ -308,7 +308,7 @@
                 cell: entry.get("cell").integer_or(0) as usize,
                 state,
                 started_ms: entry.get("startedAtMs").integer_or(0),
-                weight: LIST_WEIGHT_FACTOR * entry.get("weight").integer_in(0, u64::from(u16::MAX), 0) as u32,
+                weight: (LIST_WEIGHT_FACTOR * entry.get("weight").lenient_number(0.0)).round() as u32,
             };
             list.insert(id, executor);
         }
@@ -374,7 +374,7 @@
         vocabulary: ZoneAndKindNames {
             zones: texts(&key.get("zones")),
             kinds: texts(&key.get("kinds")),
-            weights_are_sizes: SIZE_SOURCES.contains(&key.get("weight_source").text_or("off").as_str()),
+            weights_are_sizes: SIZE_SOURCES.contains(&key.get("weight_source").lenient_text("off")),
         },
         streams_per_conn: limits.get("streams_per_conn").integer_in(1, 1 << 16, 32) as usize,
         connect_timeout: limits.get("connect_timeout_us").integer_in(1_000, 60_000_000, 250_000),
--- a/src/control/cold_start.rs
+++ b/src/control/cold_start.rs
@@ -74,9 +74,7 @@
         let settled = self.settled.max(lapsed);
         (accrued >= settled + 1.0).then_some(ColdBudget { accrued, settled: settled + 1.0, updated_at: now })
     }
-}
 
-impl ColdBudget {
     /// Returns how many permits lapsed, if this many were taken.
     fn lapsed(self, taken: u64) -> u64 {
         (self.settled as u64).saturating_sub(taken)
--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -225,6 +225,20 @@
         })
     }
 
+    /// Reads a finite number of 0 or more, and returns the default for anything else, which is no fault: for figures that only
+    /// refine estimates.
+    pub fn lenient_number(&self, default: f64) -> f64 {
+        self.record(Constraint::Unchecked);
+        let number = self.value.and_then(Value::as_f64);
+        number.filter(|n| n.is_finite() && *n >= 0.0).unwrap_or(default)
+    }
+
+    /// Reads a string, and returns the default for anything else, which is no fault.
+    pub fn lenient_text(&self, default: &'a str) -> &'a str {
+        self.record(Constraint::Unchecked);
+        self.value.and_then(Value::as_str).unwrap_or(default)
+    }
+
     /// Reads a number, or returns the default.
     pub fn number_or(&self, default: f64) -> f64 {
         self.read_or(default, Key::number)
--- a/src/keys/schema.rs
+++ b/src/keys/schema.rs
@@ -9,6 +9,8 @@
 pub enum Constraint {
     /// No constraint.
     Any,
+    /// Any value is accepted, also none.
+    Unchecked,
     /// The key may be absent.
     Optional,
     /// An object without members other than those read.
@@ -85,7 +87,10 @@
         if self.constraints.contains(&Constraint::Optional) {
             return false;
         }
-        let own = self.constraints.iter().any(|c| !matches!(c, Constraint::Any | Constraint::Closed));
+        let own = self
+            .constraints
+            .iter()
+            .any(|c| !matches!(c, Constraint::Any | Constraint::Unchecked | Constraint::Closed));
         own || self.members.iter().any(|(name, m)| name != "*" && m.is_required())
     }
 
@@ -98,6 +103,9 @@
     }
 
     fn schema(&self) -> Value {
+        if self.constraints.contains(&Constraint::Unchecked) {
+            return json!({});
+        }
         let mut out = Map::new();
         let mut kind = "object";
         if let Some((least, most)) = self.whole_bounds() {
--- a/tests/schema.rs
+++ b/tests/schema.rs
@@ -76,6 +76,26 @@
     }
 }
 
+/// A fractional weight of the list once kept a dispatcher from starting.
+#[test]
+fn weights_of_the_list_never_refuse_a_file() {
+    let schema = Config::schema();
+    let weight = "/known/batch/0/topology/instances/0/weight";
+    for value in [json!(4), json!(1.5), json!(0), json!(-3), json!(1e300), json!("4"), json!(null)] {
+        let file = with(example(), weight, Some(value));
+        assert_same_verdict(&schema, &file, &Config::read(&file.to_string()).map(drop), true);
+    }
+    for source in [json!("rough"), json!("off"), json!("unknown"), json!(1), json!(null)] {
+        let file = with(example(), "/settings/weight_source", Some(source));
+        assert_same_verdict(&schema, &file, &Config::read(&file.to_string()).map(drop), true);
+    }
+    let started = |weight: f64| {
+        let file = with(example(), "/known/batch/0/topology/instances/0/weight", Some(json!(weight)));
+        Config::read(&file.to_string()).expect("a valid file").initial_list.1[0].weight
+    };
+    assert_eq!([started(4.0), started(1.5), started(1e300)], [40, 15, u32::MAX], "ten times the weight");
+}
+
 #[test]
 fn all_faults_of_a_file_are_reported_by_key() {
     let mut value = with(example(), "/names", None);
