A configuration read anew brings no worker back that the service has not confirmed

Cause: process 2 of n0 started without s4, the name service was silent, and SIGHUP gave it an older list with s4 under offset 1,000: ListTracker::apply_external took it whole until the service answered (log: origin=configuration whole=true begun=[s4]). Change: ready workers that a configuration adds are quarantined as new, until the service confirms them or if no other is there. A predecessor's and a peer's list are taken whole as before, which external_list_is_used... now checks for both; the new test checks the configuration's.

--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -16,5 +16,5 @@
 pub use list::{Executor, ExecutorState, MAX_EXECUTORS, MAX_ID_BYTES, ZoneAndKindNames};
 pub use resolver::{InitialList, Resolver};
 pub use starts::{KnownStart, NewStart, StartLimit, StartRange, WorkerStarts};
-pub use tracker::{Decision, ListTracker, ReceivedList};
+pub use tracker::{Decision, ListOrigin, ListTracker, ReceivedList};
 pub use validate::{Doubt, EMPTY_HOLD_US, ListValidator, Verdict};
--- a/src/discovery/resolver.rs
+++ b/src/discovery/resolver.rs
@@ -6,7 +6,7 @@
 use super::dns::{self, MAX_MESSAGE_BYTES};
 use super::schedule::QuerySchedule;
 use super::tcp_exchange::TcpExchange;
-use super::tracker::{Decision, ListTracker, ReceivedList};
+use super::tracker::{Decision, ListOrigin, ListTracker, ReceivedList};
 use super::udp_channel::Channel;
 use super::validate::{Doubt, ListValidator, Verdict};
 use super::{Executor, ExecutorState};
@@ -115,20 +115,20 @@
         Ok(())
     }
 
-    /// Applies a list that did not come from the name service; `origin` names its source in the log. Returns whether the
+    /// Applies a list that did not come from the name service. Returns whether the
     /// list in use has changed.
     pub fn offer_list(
         &mut self,
         now: u64,
-        origin: &'static str,
+        origin: ListOrigin,
         serial: u64,
         executors: Vec<Executor>,
     ) -> bool {
         let (listed, held) = (executors.len(), self.tracker.serial());
         let whole = !self.tracker.is_from_service();
-        let changed = self.tracker.apply_external(now, serial, executors);
+        let changed = self.tracker.apply_external(now, origin, serial, executors);
         info!(
-            origin,
+            ?origin,
             serial, held, listed, whole, changed, "received a list from a source other than the name service"
         );
         if changed {
--- a/src/discovery/tracker.rs
+++ b/src/discovery/tracker.rs
@@ -49,6 +49,18 @@
     pub received_at: u64,
 }
 
+/// Where a list comes from that is not an answer of the name service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListOrigin {
+    /// A configuration that was read anew. It may be older than the list that the process started with, so that workers which
+    /// it adds have to be confirmed by the service.
+    Configuration,
+    /// The process before this one.
+    Predecessor,
+    /// Another dispatcher.
+    Peer,
+}
+
 /// The outcome of comparing a received list with the accepted one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -200,11 +212,20 @@
 
     /// Applies a list that did not come from the service: whole until the service has answered, afterwards only its
     /// drains. Returns whether the list in use has changed.
-    pub fn apply_external(&mut self, now: u64, serial: u64, executors: Vec<Executor>) -> bool {
+    pub fn apply_external(
+        &mut self,
+        now: u64,
+        origin: ListOrigin,
+        serial: u64,
+        executors: Vec<Executor>,
+    ) -> bool {
         if self.accepted.from_service {
             self.quarantine_drained(now, &executors, false);
             self.record_later_starts(starts(&executors));
         } else {
+            if origin == ListOrigin::Configuration {
+                self.quarantine_new(now, &executors);
+            }
             self.accept_provisional(now, serial, executors);
         }
         self.update_in_use()
@@ -263,14 +284,7 @@
     }
 
     fn accept(&mut self, list: ReceivedList) {
-        let known: HashSet<&WorkerId> = self.in_use.iter().map(|e| &e.id).collect();
-        for executor in list.executors.iter().filter(|e| e.state == ExecutorState::Ready) {
-            if !known.contains(&executor.id) {
-                let quarantine =
-                    Quarantine { reason: QuarantineReason::New, since: list.received_at, confirmations: 0 };
-                self.quarantines.entry(executor.id.clone()).or_insert(quarantine);
-            }
-        }
+        self.quarantine_new(list.received_at, &list.executors);
         self.contradiction = None;
         self.later_starts.clear();
         self.accepted = AcceptedList {
@@ -283,6 +297,17 @@
         self.evict_quarantines();
     }
 
+    /// Quarantines the ready workers of a list that are not in the list in use.
+    fn quarantine_new(&mut self, now: u64, executors: &[Executor]) {
+        let known: HashSet<&WorkerId> = self.in_use.iter().map(|e| &e.id).collect();
+        for executor in executors.iter().filter(|e| e.state == ExecutorState::Ready) {
+            if !known.contains(&executor.id) {
+                let quarantine = Quarantine { reason: QuarantineReason::New, since: now, confirmations: 0 };
+                self.quarantines.entry(executor.id.clone()).or_insert(quarantine);
+            }
+        }
+    }
+
     /// Accepts a list that did not come from the service: its ready workers are used at once, unless they were drained.
     fn accept_provisional(&mut self, now: u64, serial: u64, executors: Vec<Executor>) {
         self.quarantine_drained(now, &executors, true);
--- a/src/discovery/tracker/tests.rs
+++ b/src/discovery/tracker/tests.rs
@@ -142,18 +142,25 @@
 fn configuration_list_applies_only_its_drains_once_the_service_has_answered() {
     let mut tracker = tracker(&[("a", READY), ("b", READY)]);
     tracker.apply(list(2, 0, &[("a", READY), ("b", READY)]));
-    assert!(!tracker.apply_external(50 * MS, 90, workers(&[("a", READY), ("b", READY), ("gone", READY)])));
-    assert!(tracker.apply_external(60 * MS, 91, workers(&[("a", DRAINING)])));
+    assert!(!tracker.apply_external(
+        50 * MS,
+        ListOrigin::Configuration,
+        90,
+        workers(&[("a", READY), ("b", READY), ("gone", READY)])
+    ));
+    assert!(tracker.apply_external(60 * MS, ListOrigin::Configuration, 91, workers(&[("a", DRAINING)])));
     assert_eq!((usable(&tracker), tracker.serial()), (vec!["b".to_string()], 2));
 }
 
 #[test]
 fn external_list_is_used_until_the_service_answers_with_any_number() {
-    let mut tracker = tracker(&[("a", READY)]);
-    assert!(tracker.apply_external(10 * MS, 41, workers(&[("a", READY), ("b", READY)])));
-    assert_eq!(usable(&tracker), ["a", "b"]);
-    assert_eq!(tracker.apply(list(2, 20 * MS, &[("b", READY)])).0, Decision::Newer);
-    assert_eq!(usable(&tracker), ["b"]);
+    for origin in [ListOrigin::Predecessor, ListOrigin::Peer] {
+        let mut tracker = tracker(&[("a", READY)]);
+        assert!(tracker.apply_external(10 * MS, origin, 41, workers(&[("a", READY), ("b", READY)])));
+        assert_eq!(usable(&tracker), ["a", "b"]);
+        assert_eq!(tracker.apply(list(2, 20 * MS, &[("b", READY)])).0, Decision::Newer);
+        assert_eq!(usable(&tracker), ["b"]);
+    }
 }
 
 #[test]
@@ -274,3 +281,22 @@
     tracker.apply(list_with_start(9, 200 * MS, 1_000));
     assert_eq!(tracker.in_use()[0].started_ms, 1_000, "a worker whose clock was set back");
 }
+
+/// A dispatcher once sent requests to a worker that was gone by its first list, as a configuration read anew still had it.
+#[test]
+fn older_configuration_does_not_bring_a_removed_worker_back_before_the_service_answers() {
+    let mut tracker = tracker(&[("b", READY)]);
+    let older = || workers(&[("a", READY), ("b", READY)]);
+    tracker.apply_external(MS, ListOrigin::Configuration, 1_000, older());
+    assert_eq!(usable(&tracker), ["b"]);
+    tracker.apply(list(2, 2 * MS, &[("a", READY), ("b", READY)]));
+    tracker.apply(list(2, 100 * MS, &[("a", READY), ("b", READY)]));
+    assert_eq!(usable(&tracker), ["a", "b"], "the service confirms it");
+    // A predecessor's list came from the service, and one that replaces all workers is the only one there is.
+    let mut successor = self::tracker(&[("b", READY)]);
+    successor.apply_external(MS, ListOrigin::Predecessor, 8, older());
+    assert_eq!(usable(&successor), ["a", "b"]);
+    let mut replaced = self::tracker(&[("b", READY)]);
+    replaced.apply_external(MS, ListOrigin::Configuration, 8, workers(&[("c", READY)]));
+    assert_eq!(usable(&replaced), ["c"]);
+}
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -7,6 +7,7 @@
 use super::listing::MAX_LISTED_IDS;
 use crate::api::Class;
 use crate::counters::count;
+use crate::discovery::ListOrigin;
 use crate::handover::{HandoverEvent, HandoverState};
 use std::collections::BTreeSet;
 use tracing::{info, warn};
@@ -109,7 +110,7 @@
         self.ever_listed.extend(state.ever_listed.into_iter().take(MAX_LISTED_IDS));
         self.ban_lifted_at.extend(state.ban_lifted_at);
         self.worker_starts.restore(state.worker_starts);
-        if self.resolver.offer_list(self.now, "predecessor", state.serial, state.executors) {
+        if self.resolver.offer_list(self.now, ListOrigin::Predecessor, state.serial, state.executors) {
             self.executors = self.resolver.executors().to_vec();
         }
         self.list_known = true;
--- a/src/node/peering.rs
+++ b/src/node/peering.rs
@@ -6,6 +6,7 @@
 use super::{Node, PEERS};
 use crate::control::BudgetDivision;
 use crate::counters::count;
+use crate::discovery::ListOrigin;
 use crate::handover::HandoverState;
 use crate::peers::{InitialState, Peers};
 use ochreward_membership::Serving;
@@ -161,7 +162,7 @@
             learned,
             "the name service is silent: goes on from a peer's list"
         );
-        self.resolver.offer_list(self.now, "peer", state.serial, state.executors);
+        self.resolver.offer_list(self.now, ListOrigin::Peer, state.serial, state.executors);
         (self.executors, self.list_known) = (self.resolver.executors().to_vec(), true);
         self.apply_settings(&[]);
         self.publish_list();
--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -7,6 +7,7 @@
 use super::limits::derive_limits;
 use crate::config::{Config, Faults};
 use crate::counters::{count, print_line};
+use crate::discovery::ListOrigin;
 use ochreward_stream::wire::Fault;
 use std::fs::File;
 use std::io;
@@ -80,7 +81,7 @@
         self.config = config;
         self.adopt_settings();
         self.update_own_file();
-        if self.resolver.offer_list(self.now, "configuration", serial, executors) {
+        if self.resolver.offer_list(self.now, ListOrigin::Configuration, serial, executors) {
             self.list_changed();
         } else {
             self.publish_list();
