Review: two entries shown, drain while discovery is silent and gone after a stop

Cause: held writes look at the name service again, not at the clients (Node::release_held_writes); what a silent name service has to tell counts as told after 7 s, which nothing in the program goes by.

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")" || exit 2
 command -v python3 >/dev/null || { echo "python3 is missing"; exit 2; }
 [ -x ../target/release/ochreward ] || { echo "target/release/ochreward is missing: run the build of deploy/balancer.toml"; exit 2; }
-PYTHONDONTWRITEBYTECODE=1 python3 - stand/stand.py */case.py <<'PY'
+PYTHONDONTWRITEBYTECODE=1 python3 - stand/*.py */case.py entries/*/case.py <<'PY'
 import ast, sys
 for path in sys.argv[1:]:
     ast.parse(open(path, encoding="utf-8").read(), path)
--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -72,7 +72,7 @@
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.bind(("127.0.0.1", 0))
         self.port = self.socket.getsockname()[1]
-        self.serial, self.workers = 1, []
+        self.serial, self.workers, self.draining, self.silent = 1, [], set(), False
         threading.Thread(target=self._serve, daemon=True).start()
 
     def _serve(self):
@@ -83,12 +83,15 @@
 
         while True:
             query, sender = self.socket.recvfrom(2048)
+            if self.silent:
+                continue
             workers = list(self.workers)
             out = query[:2] + struct.pack(">HHHHH", 0x8400, 1, len(workers), 1, 2 * len(workers))
             out += query[12:12 + len(service) + 4]
             for worker in workers:
                 host = _labels(f"{worker.name}.{worker.zone}.hosts")
-                out += record(service, 33, struct.pack(">HHH", 0, 40, worker.port) + host)
+                out += record(service, 33, struct.pack(">HHH", int(worker.name in self.draining), 40, worker.port)
+                              + host)
             out += record(service, 6, b"\0\0" + struct.pack(">I", self.serial) + bytes(16))
             for worker in workers:
                 host = _labels(f"{worker.name}.{worker.zone}.hosts")
