--- a/tests/control.rs
+++ b/tests/control.rs
@@ -138,6 +138,15 @@
         self.out.iter().any(|a| matches!(a, Action::Refuse { .. }))
     }
 
+    /// Returns when the first timer that the last actions set for the request is due.
+    fn timer(&self, id: RequestId) -> Option<Micros> {
+        let timers = self.out.iter().filter_map(|a| match a {
+            Action::Timer { at, cookie } if *cookie == id => Some(*at),
+            _ => None,
+        });
+        timers.min()
+    }
+
     /// Sends `count` requests for the function, each answered by a warm replica in 100 ms.
     fn serve_warm(&mut self, class: usize, function: &str, count: usize) {
         for _ in 0..count {
@@ -681,6 +690,52 @@
     }
 }
 
+/// Where no two attempts may be open at a time, a slow worker's attempts are cancelled before they end, so that none of them
+/// ever tells how long it took.
+#[test]
+fn a_slow_worker_whose_attempts_are_all_cancelled_is_abandoned_for_a_peer() {
+    const TOOK: Micros = 400 * MS;
+    let set = Settings { may_duplicate: false, warm_after: 0, ..settings() };
+    let mut test = TestRouter::new(set, 1, 2);
+    let slow = test.warm_up(0, "f");
+    for _ in 0..100 {
+        let id = test.request(0, "f", 4 * S);
+        assert_eq!(test.sent_to(), Some(slow.clone()), "the only worker that holds the function serves it");
+        test.now += 40 * MS;
+        test.end_attempt(id, 0, Outcome::Ok, ReplicaStatus::Warm, 40 * MS);
+        test.now += 50 * MS;
+    }
+    let (mut refused, mut last_ten) = (0, 0);
+    for n in 0..40 {
+        let id = test.request(0, "f", 4 * S);
+        let mut attempt = 0;
+        while let Some(worker) = test.sent_to() {
+            last_ten += usize::from(n >= 30 && worker == slow);
+            let (sent_at, due) = (test.now, test.timer(id));
+            let took = if worker == slow { TOOK } else { 40 * MS };
+            if due.is_some_and(|due| due < sent_at + took) {
+                test.now = due.expect("a timer");
+                test.handle(Event::Timer { cookie: id });
+            }
+            if test.out.contains(&Action::Cancel { id, attempt }) {
+                let cancelled = test.now - sent_at;
+                test.end_attempt(id, attempt, Outcome::Cancelled, ReplicaStatus::NotReported, cancelled);
+            } else {
+                test.now = sent_at + took;
+                test.end_attempt(id, attempt, Outcome::Ok, ReplicaStatus::Warm, took);
+            }
+            attempt += 1;
+        }
+        refused += usize::from(test.refused());
+        test.now += 50 * MS;
+    }
+    assert!(
+        refused <= 3 && last_ten == 0,
+        "{refused} of 40 requests were refused, and {last_ten} attempts of the last ten requests went to the slow \
+         worker; its peer is idle"
+    );
+}
+
 #[test]
 fn a_queue_that_would_miss_the_aim_spreads_to_idle_workers_and_is_refused_without_any() {
     for (workers, spread) in [(2, true), (1, false)] {
