After a turn that took long, everything is looked at again before held writes go out

Cause: lines that are held since the name service's answers were last read 50 ms ago went out at the end of the turn after another look at the name service alone. Change: Node::release_held_writes takes another whole turn (all that is ready, all timers) while the last look is older than 50 ms, three at the most, so that no slow machine starves writes. The body of the event loop is Node::take_turn.

--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -210,7 +210,12 @@
     /// Returns whether writes to executors must be held back now; every write checks this. Lines held back
     /// stay queued, and are withdrawn if the name service's next answers show that their executor drains.
     fn must_hold_writes(&self) -> bool {
-        self.writes_on_hold || self.list_read_at.elapsed() > MAX_LIST_READ_AGE
+        self.writes_on_hold || self.is_list_read_old()
+    }
+
+    /// Returns whether the name service's answers were last read too long ago for a write to an executor.
+    pub fn is_list_read_old(&self) -> bool {
+        self.list_read_at.elapsed() > MAX_LIST_READ_AGE
     }
 
     /// Sets whether the queued lines of a connection are held back; returns whether there are any that are.
--- a/src/node.rs
+++ b/src/node.rs
@@ -277,41 +277,8 @@
                 events.clear();
                 self.poll.wait(0, &mut events)?;
             }
-            // Answers of the name service come first: a connection that becomes writable in the same turn writes what is queued
-            // on it, and must not write to a worker that one of these answers marks as draining.
-            events.sort_by_key(|ready| ready.token.owner != NAMES);
-            self.pool.mark_list_read();
-            // After a stall nothing is written until all input and all timers have been handled: an attempt queued for its
-            // connection may by now be past its key's repeat window or its client's deadline.
-            if stalled {
-                self.pool.hold_writes();
-            }
-            // All input is read before any of it is acted on. Otherwise an executor's answer could cause a resend for a
-            // client whose disconnect is read later in the turn, or a new request could go to an executor whose
-            // close is read later.
-            events.drain(..).for_each(|ready| self.handle_ready(ready));
-            self.handle_signals();
-            self.deliver_messages();
-            self.engine.advance(self.now);
-            self.pool.advance(self.now);
-            self.thrift.advance(&mut self.poll, self.now);
-            self.resolver.advance(&mut self.poll, self.now);
-            if let Some(door) = &mut self.admin {
-                door.advance(&mut self.poll, self.now);
-            }
-            self.advance_handover();
-            self.advance_peers();
-            self.deliver_peer_messages();
-            self.advance_overload();
-            self.advance_zones();
-            self.update_budget();
-            self.mqtt.advance(&mut self.poll, self.now);
-            self.advance_stream();
-            if let Some(front) = &mut self.stations {
-                front.advance(&mut self.poll, self.now);
-            }
-            self.deliver_messages();
-            self.release_held_writes();
+            self.take_turn(&mut events, stalled);
+            self.release_held_writes(&mut events)?;
             self.log_cold_starts();
             if self.finish_shutdown() {
                 return Ok(());
@@ -319,6 +286,45 @@
         }
     }
 
+    /// Handles the events of one poll, everything that they cause and all timers that are due. `stalled`: much time has passed since
+    /// the poll before.
+    fn take_turn(&mut self, events: &mut Vec<PollEvent>, stalled: bool) {
+        // Answers of the name service come first: a connection that becomes writable in the same turn writes what is queued
+        // on it, and must not write to a worker that one of these answers marks as draining.
+        events.sort_by_key(|ready| ready.token.owner != NAMES);
+        self.pool.mark_list_read();
+        // After a stall nothing is written until all input and all timers have been handled: an attempt queued for its
+        // connection may by now be past its key's repeat window or its client's deadline.
+        if stalled {
+            self.pool.hold_writes();
+        }
+        // All input is read before any of it is acted on. Otherwise an executor's answer could cause a resend for a
+        // client whose disconnect is read later in the turn, or a new request could go to an executor whose
+        // close is read later.
+        events.drain(..).for_each(|ready| self.handle_ready(ready));
+        self.handle_signals();
+        self.deliver_messages();
+        self.engine.advance(self.now);
+        self.pool.advance(self.now);
+        self.thrift.advance(&mut self.poll, self.now);
+        self.resolver.advance(&mut self.poll, self.now);
+        if let Some(door) = &mut self.admin {
+            door.advance(&mut self.poll, self.now);
+        }
+        self.advance_handover();
+        self.advance_peers();
+        self.deliver_peer_messages();
+        self.advance_overload();
+        self.advance_zones();
+        self.update_budget();
+        self.mqtt.advance(&mut self.poll, self.now);
+        self.advance_stream();
+        if let Some(front) = &mut self.stations {
+            front.advance(&mut self.poll, self.now);
+        }
+        self.deliver_messages();
+    }
+
     /// Returns the earliest time at which any part has a timer due.
     fn next_deadline(&self) -> u64 {
         let shutdown = self.shutdown_deadline();
--- a/src/node/dispatch.rs
+++ b/src/node/dispatch.rs
@@ -5,8 +5,14 @@
 use super::request_specs::build_job;
 use super::{Node, STATIONS};
 use crate::core::{Command, Ticket};
+use crate::counters::record_max;
 use crate::executor::Completion;
 use crate::front::{Intake, Invalid};
+use crate::net::PollEvent;
+use std::io;
+
+/// Further looks at everything that is ready, before held writes go out although the process stood still in the last look, too.
+const MAX_LOOKS: usize = 3;
 
 impl Node {
     /// Passes intake and reports to the core and carries out its commands, until all queues are empty.
@@ -56,11 +62,23 @@
         }
     }
 
-    /// Ends a turn in which writes were held: reads the name service's answers once more, then writes. However long turns
-    /// take, no write is held for longer than one of them.
-    pub(super) fn release_held_writes(&mut self) {
+    /// Ends a turn in which writes were held. If the turn took long, everything is looked at once more first: meanwhile a worker may
+    /// have been drained, a client may have left, a key's window may have ended. However long turns take, writes are held for no
+    /// more than [`MAX_LOOKS`] of them.
+    pub(super) fn release_held_writes(&mut self, events: &mut Vec<PollEvent>) -> io::Result<()> {
+        for _ in 0..MAX_LOOKS {
+            if !self.pool.has_held_writes() || !self.pool.is_list_read_old() {
+                break;
+            }
+            let last_read = self.now;
+            self.poll.wait(0, events)?;
+            self.now = self.clock.read();
+            record_max(&self.counters.loop_lag_most_us, self.now - last_read);
+            self.stalled_us = self.now - last_read;
+            self.take_turn(events, true);
+        }
         if !self.pool.has_held_writes() {
-            return;
+            return Ok(());
         }
         if self.resolver.read_pending(&mut self.poll, self.now) {
             self.list_changed();
@@ -68,6 +86,7 @@
         self.pool.mark_list_read();
         self.pool.release_writes(&self.poll, self.now);
         self.deliver_messages();
+        Ok(())
     }
 
     /// Carries out one command of the core.
