Whether a write is held is checked right before the call that writes

Cause: Pool::handle_event checked before it read and parsed, Pool::flush before it went through the open lines. Change: the check is the last thing before the write; a line that waits for its connection is written after the read, by the same path.

--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -476,10 +476,12 @@
     /// Writes the queued lines of a connection as far as the socket accepts them, unless writes are held
     /// back.
     fn flush(&mut self, poll: &Poll, now: u64, slot: usize) {
-        let hold = self.must_hold_writes();
         let Some(link) = self.links.get_mut(slot) else { return };
         link.handler.last_used_at = now;
         Self::refresh_timeouts(link, now);
+        // Nothing comes between this check and the call that writes: the process may be stopped there.
+        let hold = self.must_hold_writes();
+        let Some(link) = self.links.get_mut(slot) else { return };
         self.has_held_lines |= Self::set_hold(link, hold, &self.counters);
         if link.flush(poll).is_err() {
             // An answer may have arrived before the reset that broke the send, and not have been read yet.
@@ -509,12 +511,12 @@
 
     /// Handles an I/O event on a connection.
     pub fn handle_event(&mut self, poll: &mut Poll, now: u64, ready: PollEvent) {
-        let (slot, hold) = (ready.token.slot as usize, self.must_hold_writes());
+        let slot = ready.token.slot as usize;
         let Some(link) = self.links.get_mut(slot).filter(|l| l.io.token() == ready.token) else { return };
         let mut answers = std::mem::take(&mut self.answers);
         let unread_before = link.io.unparsed_bytes();
-        Self::refresh_timeouts(link, now);
-        self.has_held_lines |= Self::set_hold(link, hold, &self.counters);
+        // The process may be stopped while it reads, so whether it may write is checked afterwards.
+        link.io.hold_writes(link.io.unsent_bytes() > 0);
         let result = link.handle_event(poll, ready, &mut answers);
         self.unread_bytes = self.unread_bytes + link.io.unparsed_bytes() - unread_before;
         if ready.read {
@@ -524,6 +526,9 @@
             link.handler.partial_line_since = (link.io.unparsed_bytes() > 0).then_some(since);
             link.handler.last_read_at = now;
         }
+        if result.is_ok() && link.io.writes_held() {
+            self.flush(poll, now, slot);
+        }
         for answer in answers.drain(..) {
             self.handle_answer(now, slot, answer);
         }
