After a stop that made the list old, nothing is sent before the name service has answered

Cause: an event counts as announced 1.5 s after it happened. A process that was stopped for longer than that read the answers to its old queries, and wrote its requests in the turn in which it asked again: 5 of 10 went to a worker whose drain had been announced 0.4 s before. Change: where the list becomes older than 1.5 s in a stall, held writes wait for an answer, 0.25 s at the most, enough for a second query. A list that was old before the stall is not waited for: then the name service is silent, and a busy machine would wait in each stall.

--- a/src/node.rs
+++ b/src/node.rs
@@ -69,6 +69,8 @@
     /// After a stall, the time since the previous read, in microseconds; else 0. A request read now may have waited this
     /// long, while its client's time runs from when it was sent.
     stalled_us: u64,
+    /// While held writes wait for the name service after a stall: when that ends.
+    list_wait_ends: Option<u64>,
     config: Config,
     settings: Settings,
     engine: Engine,
@@ -188,6 +190,7 @@
             now,
             started: now,
             stalled_us: 0,
+            list_wait_ends: None,
             settings,
             engine,
             thrift,
@@ -277,7 +280,7 @@
                 events.clear();
                 self.poll.wait(0, &mut events)?;
             }
-            self.take_turn(&mut events, stalled);
+            self.take_turn(&mut events, last_read, stalled);
             self.release_held_writes(&mut events)?;
             self.log_cold_starts();
             if self.finish_shutdown() {
@@ -286,9 +289,9 @@
         }
     }
 
-    /// Handles the events of one poll, everything that they cause and all timers that are due. `stalled`: much time has passed since
-    /// the poll before.
-    fn take_turn(&mut self, events: &mut Vec<PollEvent>, stalled: bool) {
+    /// Handles the events of one poll, everything that they cause and all timers that are due. `last_read`: the time of the poll
+    /// before; `stalled`: much time has passed since.
+    fn take_turn(&mut self, events: &mut Vec<PollEvent>, last_read: u64, stalled: bool) {
         // Answers of the name service come first: a connection that becomes writable in the same turn writes what is queued
         // on it, and must not write to a worker that one of these answers marks as draining.
         events.sort_by_key(|ready| ready.token.owner != NAMES);
@@ -297,6 +300,7 @@
         // connection may by now be past its key's repeat window or its client's deadline.
         if stalled {
             self.pool.hold_writes();
+            self.await_list_after_stall(last_read);
         }
         // All input is read before any of it is acted on. Otherwise an executor's answer could cause a resend for a
         // client whose disconnect is read later in the turn, or a new request could go to an executor whose
@@ -330,8 +334,8 @@
         let shutdown = self.shutdown_deadline();
         let bans = Some(self.next_bans_read).filter(|_| self.handover.other_process_runs());
         let door = self.admin.as_ref().map(AdminEndpoint::due);
-        let optional =
-            [self.engine.next_timer_at(), self.pool.due(), shutdown, bans, door, Some(self.handover.due())];
+        let (handover, engine) = (Some(self.handover.due()), self.engine.next_timer_at());
+        let optional = [engine, self.pool.due(), shutdown, bans, door, handover, self.list_wait_ends];
         let deadlines = optional.into_iter().flatten().chain([
             self.mqtt.due(),
             self.stream.as_ref().map_or(u64::MAX, ConfigStream::due),
