--- a/crates/net/src/connection/tests.rs
+++ b/crates/net/src/connection/tests.rs
@@ -39,3 +39,43 @@
     let _ = link.handle_event(&mut poll, events[0], &mut received);
     assert_eq!((received, link.io.read_closed), (SENT_BYTES, true));
 }
+
+#[test]
+fn connection_with_a_failed_write_is_read_and_then_reported_as_broken_though_no_end_follows() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let mut peer =
+        std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+    let (stream, _) = listener.accept().expect("a connection");
+    stream.set_nonblocking(true).expect("a non-blocking stream");
+    let mut poll = Poll::new().expect("an epoll instance");
+    let token = poll.token(1, 0);
+    let mut link = Connection::accepted(&poll, stream.into(), token, Sink, (64, 64)).expect("a link");
+    // Writing fails from here on, and the socket reports nothing by itself: the peer's side stays open.
+    link.io.shutdown_write();
+    assert!(link.io.queue(b"request"));
+    assert_eq!(link.flush(&poll), Err(Closed::Broken));
+    peer.write_all(b"answer").expect("sent");
+    std::thread::sleep(Duration::from_millis(50));
+    let (mut events, mut received) = (Vec::new(), 0);
+    poll.wait(1_000_000, &mut events).expect("a turn");
+    assert_eq!(link.handle_event(&mut poll, events[0], &mut received), Err(Closed::Broken));
+    assert_eq!(received, b"answer".len());
+}
+
+#[test]
+fn connection_with_a_failed_write_wakes_the_loop_without_any_input() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let _peer =
+        std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+    let (stream, _) = listener.accept().expect("a connection");
+    stream.set_nonblocking(true).expect("a non-blocking stream");
+    let mut poll = Poll::new().expect("an epoll instance");
+    let token = poll.token(1, 0);
+    let mut link = Connection::accepted(&poll, stream.into(), token, Sink, (64, 64)).expect("a link");
+    link.io.shutdown_write();
+    assert!(link.io.queue(b"request"));
+    assert_eq!(link.flush(&poll), Err(Closed::Broken));
+    let mut events = Vec::new();
+    poll.wait(200_000, &mut events).expect("a turn");
+    assert!(!events.is_empty(), "the rest of a line would stay queued until something else writes it");
+}
