After a failed write nothing more is written, and the loop is woken to end the connection

Cause: BufferedSocket::flush reported a failed write and could write again later. Change: the socket keeps that a write failed, and Connection::flush registers for write readiness in this case too, so that the next turn reads what came and ends the connection.

--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -48,6 +48,8 @@
     interest: Interest,
     connecting: bool,
     writes_held: bool,
+    /// A write has failed: nothing more is written.
+    write_failed: bool,
     input: Ring,
     output: Ring,
     /// Whether the peer has closed its sending side.
@@ -146,6 +148,10 @@
     }
 
     fn flush(&mut self) -> Result<(), Closed> {
+        // The rest of a message must not follow when the connection can write again: by then its time may be over.
+        if self.write_failed {
+            return Err(Closed::Broken);
+        }
         while !self.connecting && !self.writes_held && !self.output.is_empty() {
             match rustix::net::send(&self.fd, self.output.front(), SendFlags::NOSIGNAL) {
                 Ok(count) => {
@@ -154,7 +160,10 @@
                 }
                 Err(rustix::io::Errno::AGAIN) => break,
                 Err(rustix::io::Errno::INTR) => {}
-                Err(_) => return Err(Closed::Broken),
+                Err(_) => {
+                    self.write_failed = true;
+                    return Err(Closed::Broken);
+                }
             }
         }
         Ok(())
@@ -277,14 +286,15 @@
 
     /// Writes as much as possible, and registers for write readiness if bytes are left.
     pub fn flush(&mut self, poll: &Poll) -> Result<(), Closed> {
-        self.io.flush()?;
+        let flushed = self.io.flush();
+        // After a failed write, too: the event for it lets the loop read what came before, and then end the connection.
         let write = self.io.connecting || !self.io.output.is_empty();
         let interest = Interest { read: !self.io.read_closed && self.wants_more(), write };
         if interest != self.io.interest {
             self.io.interest = interest;
             poll.modify(&self.io.fd, self.io.token, interest).map_err(|_| Closed::Broken)?;
         }
-        Ok(())
+        flushed
     }
 }
 
@@ -303,6 +313,7 @@
             interest,
             connecting,
             writes_held: false,
+            write_failed: false,
             input,
             output,
             read_closed: false,
