Lines that wait for the name service after a stop don't wake the loop

Change: while writes are held until a release, the socket is not registered for write readiness; the release flushes it and registers it anew. Lines held within one turn only stay registered, as before. A failed write still wakes the loop.

--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -48,6 +48,8 @@
     interest: Interest,
     connecting: bool,
     writes_held: bool,
+    /// Held writes don't make the loop wait for write readiness.
+    awaits_flush: bool,
     /// A write has failed: nothing more is written.
     write_failed: bool,
     input: Ring,
@@ -79,7 +81,12 @@
     /// Holds back writes, or releases them. Held bytes are written by a later [`Connection::flush`], or once the descriptor is
     /// ready.
     pub fn hold_writes(&mut self, held: bool) {
-        self.writes_held = held;
+        (self.writes_held, self.awaits_flush) = (held, false);
+    }
+
+    /// Holds back writes until a later [`Connection::flush`] that follows their release. Until then they don't wake the loop.
+    pub fn hold_writes_until_flush(&mut self) {
+        (self.writes_held, self.awaits_flush) = (true, true);
     }
 
     /// Returns whether writes are held back.
@@ -288,7 +295,8 @@
     pub fn flush(&mut self, poll: &Poll) -> Result<(), Closed> {
         let flushed = self.io.flush();
         // After a failed write, too: the event for it lets the loop read what came before, and then end the connection.
-        let write = self.io.connecting || !self.io.output.is_empty();
+        let waits = !self.io.output.is_empty() && (!self.io.awaits_flush || self.io.write_failed);
+        let write = self.io.connecting || waits;
         let interest = Interest { read: !self.io.read_closed && self.wants_more(), write };
         if interest != self.io.interest {
             self.io.interest = interest;
@@ -313,6 +321,7 @@
             interest,
             connecting,
             writes_held: false,
+            awaits_flush: false,
             write_failed: false,
             input,
             output,
--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -218,13 +218,23 @@
         self.list_read_at.elapsed() > MAX_LIST_READ_AGE
     }
 
-    /// Sets whether the queued lines of a connection are held back; returns whether there are any that are.
-    fn set_hold(link: &mut Connection<ExecutorConnection>, hold: bool, counters: &Counters) -> bool {
+    /// Sets whether the queued lines of a connection are held back; returns whether there are any that are. `until_release`: a
+    /// release is sure to follow, perhaps some turns later.
+    fn set_hold(
+        link: &mut Connection<ExecutorConnection>,
+        hold: bool,
+        until_release: bool,
+        counters: &Counters,
+    ) -> bool {
         let hold = hold && link.io.unsent_bytes() > 0;
         if hold {
             count(&counters.writes_held);
         }
-        link.io.hold_writes(hold);
+        if hold && until_release {
+            link.io.hold_writes_until_flush();
+        } else {
+            link.io.hold_writes(hold);
+        }
         hold
     }
 
@@ -482,7 +492,7 @@
         // Nothing comes between this check and the call that writes: the process may be stopped there.
         let hold = self.must_hold_writes();
         let Some(link) = self.links.get_mut(slot) else { return };
-        self.has_held_lines |= Self::set_hold(link, hold, &self.counters);
+        self.has_held_lines |= Self::set_hold(link, hold, self.writes_on_hold, &self.counters);
         if link.flush(poll).is_err() {
             // An answer may have arrived before the reset that broke the send, and not have been read yet.
             // The connection therefore only stops taking new lines; the event for its end reads the remaining
