--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -48,10 +48,6 @@
     interest: Interest,
     connecting: bool,
     writes_held: bool,
-    /// Held writes don't make the loop wait for write readiness.
-    awaits_flush: bool,
-    /// A write has failed: nothing more is written.
-    write_failed: bool,
     input: Ring,
     output: Ring,
     /// Whether the peer has closed its sending side.
@@ -81,12 +77,7 @@
     /// Holds back writes, or releases them. Held bytes are written by a later [`Connection::flush`], or once the descriptor is
     /// ready.
     pub fn hold_writes(&mut self, held: bool) {
-        (self.writes_held, self.awaits_flush) = (held, false);
-    }
-
-    /// Holds back writes until a later [`Connection::flush`] that follows their release. Until then they don't wake the loop.
-    pub fn hold_writes_until_flush(&mut self) {
-        (self.writes_held, self.awaits_flush) = (true, true);
+        self.writes_held = held;
     }
 
     /// Returns whether writes are held back.
@@ -155,10 +146,6 @@
     }
 
     fn flush(&mut self) -> Result<(), Closed> {
-        // The rest of a message must not follow when the connection can write again: by then its time may be over.
-        if self.write_failed {
-            return Err(Closed::Broken);
-        }
         while !self.connecting && !self.writes_held && !self.output.is_empty() {
             match rustix::net::send(&self.fd, self.output.front(), SendFlags::NOSIGNAL) {
                 Ok(count) => {
@@ -167,10 +154,7 @@
                 }
                 Err(rustix::io::Errno::AGAIN) => break,
                 Err(rustix::io::Errno::INTR) => {}
-                Err(_) => {
-                    self.write_failed = true;
-                    return Err(Closed::Broken);
-                }
+                Err(_) => return Err(Closed::Broken),
             }
         }
         Ok(())
@@ -293,16 +277,14 @@
 
     /// Writes as much as possible, and registers for write readiness if bytes are left.
     pub fn flush(&mut self, poll: &Poll) -> Result<(), Closed> {
-        let flushed = self.io.flush();
-        // After a failed write, too: the event for it lets the loop read what came before, and then end the connection.
-        let waits = !self.io.output.is_empty() && (!self.io.awaits_flush || self.io.write_failed);
-        let write = self.io.connecting || waits;
+        self.io.flush()?;
+        let write = self.io.connecting || !self.io.output.is_empty();
         let interest = Interest { read: !self.io.read_closed && self.wants_more(), write };
         if interest != self.io.interest {
             self.io.interest = interest;
             poll.modify(&self.io.fd, self.io.token, interest).map_err(|_| Closed::Broken)?;
         }
-        flushed
+        Ok(())
     }
 }
 
@@ -321,8 +303,6 @@
             interest,
             connecting,
             writes_held: false,
-            awaits_flush: false,
-            write_failed: false,
             input,
             output,
             read_closed: false,
--- a/src/control.rs
+++ b/src/control.rs
@@ -724,10 +724,9 @@
         let lanes = function.lanes * f64::from(replicas.max(1));
         let lane_wait = run_time * ((in_flight + 1.0 - lanes) / lanes).max(0.0);
         let total = self.settings.min_batch_interval as f64 + load_wait + pending.max(lane_wait) + run_time;
-        // A worker that has just rejected this request would probably do so again, and one where its attempt
-        // was cancelled as too slow is still at that: every other worker comes first.
-        let fails = |a: &Attempt| a.rejected || a.cancelled;
-        let failed_before = request.attempts.iter().any(|a| a.estimate.worker == worker && fails(a));
+        // A worker that has just rejected this request would probably do so again: every other worker comes
+        // first.
+        let rejected = request.attempts.iter().any(|a| a.estimate.worker == worker && a.rejected);
         let crossing = if target.zone == self.settings.own_zone {
             0.0
         } else {
@@ -751,7 +750,7 @@
             PRIOR_SAMPLES,
         ) * class.deadline as f64
             + crossing * class.latency_target as f64
-            + if failed_before { class.deadline as f64 } else { 0.0 };
+            + if rejected { class.deadline as f64 } else { 0.0 };
         let total_if_warm = total - load_wait;
         Some(Estimate {
             worker,
@@ -961,7 +960,6 @@
             open: true,
             may_have_run: true,
             rejected: false,
-            cancelled: false,
             presumed_lost: false,
         });
         let is_cold = w.ready_at.is_some_and(|at| self.now.saturating_sub(at) < self.settings.warm_after);
@@ -1116,7 +1114,6 @@
             _ => None,
         };
         attempt.rejected = outcome == Outcome::Full;
-        attempt.cancelled = outcome == Outcome::Cancelled;
         attempt.may_have_run =
             !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Miss);
         let (e, sent_at) = (attempt.estimate, attempt.sent_at);
@@ -1217,11 +1214,6 @@
             }
             // The attempt was never sent, so the load that it was meant to start is not under way.
             Outcome::NotSent if e.cold && replica.own_in_flight == 0 => replica.loading = None,
-            // How long the answer would have taken is not known, but that it took longer than this is. Otherwise a
-            // worker whose attempts are all cancelled before they end would never count as slow.
-            Outcome::Cancelled if *latency as f64 + 1.0 >= HEDGE_DELAY_FACTOR * e.total_if_cold => {
-                self.learn_slowness(worker, MAX_ERROR_RATIO - 1.0);
-            }
             Outcome::Timeout | Outcome::Cancelled | Outcome::NotSent => {}
         }
         if outcome == Outcome::Ok {
--- a/src/control/tables.rs
+++ b/src/control/tables.rs
@@ -173,8 +173,6 @@
     pub(super) may_have_run: bool,
     /// The worker was full.
     pub(super) rejected: bool,
-    /// The attempt was cancelled.
-    pub(super) cancelled: bool,
     /// Open for so long that it counts as lost.
     pub(super) presumed_lost: bool,
 }
--- a/src/discovery/resolver.rs
+++ b/src/discovery/resolver.rs
@@ -152,11 +152,6 @@
         now.saturating_sub(self.confirmed_at)
     }
 
-    /// Returns whether an event may count as announced although no answer could have told it.
-    pub fn is_stale(&self, now: u64) -> bool {
-        self.age(now) >= STALE_AFTER_US
-    }
-
     /// Returns when the latest query was sent whose answer still agreed with the list before the one in use.
     pub fn previous_confirmed_at(&self) -> u64 {
         self.previous_confirmed_at
@@ -448,7 +443,7 @@
     fn update_staleness(&mut self, now: u64) {
         let age = self.age(now);
         self.counters.list_age_ms.set(age / 1_000);
-        let stale = self.is_stale(now);
+        let stale = age >= STALE_AFTER_US;
         if stale != self.logged_stale {
             self.logged_stale = stale;
             let (serial, age_ms) = (self.serial(), age / 1_000);
--- a/src/executor/pool.rs
+++ b/src/executor/pool.rs
@@ -210,31 +210,16 @@
     /// Returns whether writes to executors must be held back now; every write checks this. Lines held back
     /// stay queued, and are withdrawn if the name service's next answers show that their executor drains.
     fn must_hold_writes(&self) -> bool {
-        self.writes_on_hold || self.is_list_read_old()
+        self.writes_on_hold || self.list_read_at.elapsed() > MAX_LIST_READ_AGE
     }
 
-    /// Returns whether the name service's answers were last read too long ago for a write to an executor.
-    pub fn is_list_read_old(&self) -> bool {
-        self.list_read_at.elapsed() > MAX_LIST_READ_AGE
-    }
-
-    /// Sets whether the queued lines of a connection are held back; returns whether there are any that are. `until_release`: a
-    /// release is sure to follow, perhaps some turns later.
-    fn set_hold(
-        link: &mut Connection<ExecutorConnection>,
-        hold: bool,
-        until_release: bool,
-        counters: &Counters,
-    ) -> bool {
+    /// Sets whether the queued lines of a connection are held back; returns whether there are any that are.
+    fn set_hold(link: &mut Connection<ExecutorConnection>, hold: bool, counters: &Counters) -> bool {
         let hold = hold && link.io.unsent_bytes() > 0;
         if hold {
             count(&counters.writes_held);
         }
-        if hold && until_release {
-            link.io.hold_writes_until_flush();
-        } else {
-            link.io.hold_writes(hold);
-        }
+        link.io.hold_writes(hold);
         hold
     }
 
@@ -486,13 +471,11 @@
     /// Writes the queued lines of a connection as far as the socket accepts them, unless writes are held
     /// back.
     fn flush(&mut self, poll: &Poll, now: u64, slot: usize) {
+        let hold = self.must_hold_writes();
         let Some(link) = self.links.get_mut(slot) else { return };
         link.handler.last_used_at = now;
         Self::refresh_timeouts(link, now);
-        // Nothing comes between this check and the call that writes: the process may be stopped there.
-        let hold = self.must_hold_writes();
-        let Some(link) = self.links.get_mut(slot) else { return };
-        self.has_held_lines |= Self::set_hold(link, hold, self.writes_on_hold, &self.counters);
+        self.has_held_lines |= Self::set_hold(link, hold, &self.counters);
         if link.flush(poll).is_err() {
             // An answer may have arrived before the reset that broke the send, and not have been read yet.
             // The connection therefore only stops taking new lines; the event for its end reads the remaining
@@ -521,12 +504,12 @@
 
     /// Handles an I/O event on a connection.
     pub fn handle_event(&mut self, poll: &mut Poll, now: u64, ready: PollEvent) {
-        let slot = ready.token.slot as usize;
+        let (slot, hold) = (ready.token.slot as usize, self.must_hold_writes());
         let Some(link) = self.links.get_mut(slot).filter(|l| l.io.token() == ready.token) else { return };
         let mut answers = std::mem::take(&mut self.answers);
         let unread_before = link.io.unparsed_bytes();
-        // The process may be stopped while it reads, so whether it may write is checked afterwards.
-        link.io.hold_writes(link.io.unsent_bytes() > 0);
+        Self::refresh_timeouts(link, now);
+        self.has_held_lines |= Self::set_hold(link, hold, &self.counters);
         let result = link.handle_event(poll, ready, &mut answers);
         self.unread_bytes = self.unread_bytes + link.io.unparsed_bytes() - unread_before;
         if ready.read {
@@ -536,9 +519,6 @@
             link.handler.partial_line_since = (link.io.unparsed_bytes() > 0).then_some(since);
             link.handler.last_read_at = now;
         }
-        if result.is_ok() && link.io.writes_held() {
-            self.flush(poll, now, slot);
-        }
         for answer in answers.drain(..) {
             self.handle_answer(now, slot, answer);
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -69,8 +69,6 @@
     /// After a stall, the time since the previous read, in microseconds; else 0. A request read now may have waited this
     /// long, while its client's time runs from when it was sent.
     stalled_us: u64,
-    /// While held writes wait for the name service after a stall: when that ends.
-    list_wait_ends: Option<u64>,
     config: Config,
     settings: Settings,
     engine: Engine,
@@ -190,7 +188,6 @@
             now,
             started: now,
             stalled_us: 0,
-            list_wait_ends: None,
             settings,
             engine,
             thrift,
@@ -280,8 +277,41 @@
                 events.clear();
                 self.poll.wait(0, &mut events)?;
             }
-            self.take_turn(&mut events, last_read, stalled);
-            self.release_held_writes(&mut events)?;
+            // Answers of the name service come first: a connection that becomes writable in the same turn writes what is queued
+            // on it, and must not write to a worker that one of these answers marks as draining.
+            events.sort_by_key(|ready| ready.token.owner != NAMES);
+            self.pool.mark_list_read();
+            // After a stall nothing is written until all input and all timers have been handled: an attempt queued for its
+            // connection may by now be past its key's repeat window or its client's deadline.
+            if stalled {
+                self.pool.hold_writes();
+            }
+            // All input is read before any of it is acted on. Otherwise an executor's answer could cause a resend for a
+            // client whose disconnect is read later in the turn, or a new request could go to an executor whose
+            // close is read later.
+            events.drain(..).for_each(|ready| self.handle_ready(ready));
+            self.handle_signals();
+            self.deliver_messages();
+            self.engine.advance(self.now);
+            self.pool.advance(self.now);
+            self.thrift.advance(&mut self.poll, self.now);
+            self.resolver.advance(&mut self.poll, self.now);
+            if let Some(door) = &mut self.admin {
+                door.advance(&mut self.poll, self.now);
+            }
+            self.advance_handover();
+            self.advance_peers();
+            self.deliver_peer_messages();
+            self.advance_overload();
+            self.advance_zones();
+            self.update_budget();
+            self.mqtt.advance(&mut self.poll, self.now);
+            self.advance_stream();
+            if let Some(front) = &mut self.stations {
+                front.advance(&mut self.poll, self.now);
+            }
+            self.deliver_messages();
+            self.release_held_writes();
             self.log_cold_starts();
             if self.finish_shutdown() {
                 return Ok(());
@@ -289,53 +319,13 @@
         }
     }
 
-    /// Handles the events of one poll, everything that they cause and all timers that are due. `last_read`: the time of the poll
-    /// before; `stalled`: much time has passed since.
-    fn take_turn(&mut self, events: &mut Vec<PollEvent>, last_read: u64, stalled: bool) {
-        // Answers of the name service come first: a connection that becomes writable in the same turn writes what is queued
-        // on it, and must not write to a worker that one of these answers marks as draining.
-        events.sort_by_key(|ready| ready.token.owner != NAMES);
-        self.pool.mark_list_read();
-        // After a stall nothing is written until all input and all timers have been handled: an attempt queued for its
-        // connection may by now be past its key's repeat window or its client's deadline.
-        if stalled {
-            self.pool.hold_writes();
-            self.await_list_after_stall(last_read);
-        }
-        // All input is read before any of it is acted on. Otherwise an executor's answer could cause a resend for a
-        // client whose disconnect is read later in the turn, or a new request could go to an executor whose
-        // close is read later.
-        events.drain(..).for_each(|ready| self.handle_ready(ready));
-        self.handle_signals();
-        self.deliver_messages();
-        self.engine.advance(self.now);
-        self.pool.advance(self.now);
-        self.thrift.advance(&mut self.poll, self.now);
-        self.resolver.advance(&mut self.poll, self.now);
-        if let Some(door) = &mut self.admin {
-            door.advance(&mut self.poll, self.now);
-        }
-        self.advance_handover();
-        self.advance_peers();
-        self.deliver_peer_messages();
-        self.advance_overload();
-        self.advance_zones();
-        self.update_budget();
-        self.mqtt.advance(&mut self.poll, self.now);
-        self.advance_stream();
-        if let Some(front) = &mut self.stations {
-            front.advance(&mut self.poll, self.now);
-        }
-        self.deliver_messages();
-    }
-
     /// Returns the earliest time at which any part has a timer due.
     fn next_deadline(&self) -> u64 {
         let shutdown = self.shutdown_deadline();
         let bans = Some(self.next_bans_read).filter(|_| self.handover.other_process_runs());
         let door = self.admin.as_ref().map(AdminEndpoint::due);
-        let (handover, engine) = (Some(self.handover.due()), self.engine.next_timer_at());
-        let optional = [engine, self.pool.due(), shutdown, bans, door, handover, self.list_wait_ends];
+        let optional =
+            [self.engine.next_timer_at(), self.pool.due(), shutdown, bans, door, Some(self.handover.due())];
         let deadlines = optional.into_iter().flatten().chain([
             self.mqtt.due(),
             self.stream.as_ref().map_or(u64::MAX, ConfigStream::due),
