--- /dev/null
+++ b/src/front/stations/sessions/requests.rs
@@ -0,0 +1,217 @@
+//! Requests from publishing to the final answer: a message becomes a request, joins one that is running, or is answered from
+//! memory; a final answer is remembered and delivered.
+
+use super::{ANSWER_EXPIRY_S, Action, MAX_ANSWERED_CALLS, MAX_REMEMBERED_BODY_BYTES, Sessions, pair};
+use crate::core::FinalAnswer;
+use crate::front::stations::policy::User;
+use crate::front::stations::quota::Bucket;
+use crate::front::{Fields, Invalid, ParsedRequest};
+use ochreward_mqtt::delivery::Received;
+use ochreward_mqtt::packet::Publish;
+use ochreward_mqtt::{Properties, ReasonCode, Violation};
+use std::sync::Arc;
+
+/// An answer, remembered for a message that is delivered again.
+#[derive(Clone, Debug)]
+pub(super) struct Outcome {
+    pub(super) reason: ReasonCode,
+    pub(super) user_properties: Vec<(String, String)>,
+    pub(super) body: Vec<u8>,
+}
+
+/// A request that the core has.
+pub(super) struct Request {
+    pub(super) client: String,
+    pub(super) call: Arc<str>,
+    /// The packet ids under which it was delivered on the current connection.
+    pub(super) packet_ids: Vec<u16>,
+    pub(super) response_topic: Option<String>,
+    pub(super) correlation: Option<Vec<u8>>,
+}
+
+impl Sessions {
+    pub(super) fn handle_publish(
+        &mut self,
+        now: u64,
+        client: &str,
+        mut publish: Publish,
+    ) -> Result<(), Violation> {
+        let Some(session) = self.sessions.get_mut(client) else { return Ok(()) };
+        if publish.retain {
+            let (statement, what) = ("MQTT-3.2.2-14", "a retained message, which is not supported");
+            return Err(Violation { reason: ReasonCode::RetainNotSupported, statement, description: what });
+        }
+        match session.inbound.publish(&mut publish)? {
+            Received::New => {}
+            Received::Pending => return Ok(()),
+            Received::Acknowledged(answer) => {
+                self.send(client, [*answer]);
+                return Ok(());
+            }
+        }
+        self.handle_trigger(now, client, publish);
+        Ok(())
+    }
+
+    /// Turns a message into a request, or answers it with the reason why it is refused.
+    pub(super) fn handle_trigger(&mut self, now: u64, client: &str, publish: Publish) {
+        let Some(session) = self.sessions.get_mut(client) else { return };
+        self.counts.triggers += 1;
+        let user = self.policy.user(&session.user);
+        let fields: Fields = publish.properties.user.iter().cloned().collect();
+        let call: Arc<str> = fields.get("call").map_or("", String::as_str).into();
+        let number = self.next_number;
+        self.next_number += 1;
+        let request = Request {
+            client: client.to_string(),
+            call: call.clone(),
+            packet_ids: if publish.packet_id > 0 { vec![publish.packet_id] } else { Vec::new() },
+            response_topic: publish.properties.response_topic.clone(),
+            correlation: publish.properties.correlation.clone(),
+        };
+        // The request is running: its answer acknowledges this delivery too.
+        if let Some(known) = session.open_calls.get(&call).and_then(|number| self.requests.get_mut(number)) {
+            self.counts.duplicates += 1;
+            known.packet_ids.extend(request.packet_ids);
+            return;
+        }
+        if let Some(outcome) =
+            session.answered_calls.get(&call).filter(|_| publish.dup || publish.packet_id == 0).cloned()
+        {
+            self.counts.duplicates += 1;
+            return self.deliver(request, outcome);
+        }
+        let refuse = |reason: ReasonCode, why: &str| Outcome {
+            reason,
+            user_properties: vec![pair("status", "failed"), pair("why", why)],
+            body: Vec::new(),
+        };
+        let sketch = match ParsedRequest::read(&fields) {
+            Ok(sketch) => sketch,
+            Err(invalid) => {
+                let mut outcome = refuse(ReasonCode::PayloadFormatInvalid, invalid.why);
+                outcome.user_properties.push(pair("field", invalid.field));
+                return self.deliver(request, outcome);
+            }
+        };
+        let may = |u: &User| {
+            u.may_publish(client, &publish.topic) && u.may_request(&sketch.class, sketch.tenant.as_deref())
+        };
+        if !user.is_some_and(may) {
+            return self
+                .deliver(request, refuse(ReasonCode::NotAuthorized, "may not be asked for by this client"));
+        }
+        let rate = user.map_or((0.0, 0.0), |u| u.user_rate);
+        let shared =
+            self.user_buckets.entry(session.user.clone()).or_insert_with(|| Bucket::new(now, rate.0, rate.1));
+        let wait = session.bucket.wait_us(now).max(shared.wait_us(now));
+        if self.stopping || wait > 0 {
+            self.counts.limited += u64::from(wait > 0);
+            let after = if self.stopping { self.rules.pushback } else { wait };
+            return self.deliver(request, refused(after));
+        }
+        session.bucket.take();
+        shared.take();
+        session.open_calls.insert(call, number);
+        self.requests.insert(number, request);
+        self.actions.push(Action::Serve { number, sketch, body: publish.payload, again: publish.dup });
+    }
+
+    /// Delivers the core's final answer to a request.
+    pub fn answer(&mut self, number: i64, answer: FinalAnswer) {
+        let outcome = match answer {
+            FinalAnswer::Served(body) => {
+                Outcome { reason: ReasonCode::Success, user_properties: vec![pair("status", "served")], body }
+            }
+            FinalAnswer::Refused(after) => refused(after),
+            FinalAnswer::Failed(why) => Outcome {
+                reason: ReasonCode::Implementation,
+                user_properties: vec![pair("status", "failed"), pair("why", why)],
+                body: Vec::new(),
+            },
+        };
+        self.settle(number, outcome);
+    }
+
+    /// Answers a request that has an invalid field.
+    pub fn reject_invalid(&mut self, number: i64, invalid: &Invalid) {
+        let user_properties =
+            vec![pair("status", "failed"), pair("field", invalid.field), pair("why", invalid.why)];
+        self.settle(
+            number,
+            Outcome { reason: ReasonCode::PayloadFormatInvalid, user_properties, body: Vec::new() },
+        );
+    }
+
+    pub(super) fn settle(&mut self, number: i64, outcome: Outcome) {
+        let Some(request) = self.requests.remove(&number) else { return };
+        let Some(session) = self.sessions.get_mut(&request.client) else {
+            self.counts.answers_lost += 1;
+            return;
+        };
+        session.open_calls.remove(&request.call);
+        // A refused request never ran: its repeat is a new request.
+        if outcome.user_properties.first().is_some_and(|(_, status)| status != "refused") {
+            let mut remembered = outcome.clone();
+            if remembered.body.len() > MAX_REMEMBERED_BODY_BYTES {
+                remembered.body.clear();
+                remembered.user_properties.push(pair("body", "not kept"));
+            }
+            if session.answered_calls.insert(request.call.clone(), remembered).is_none() {
+                session.answered_order.push_back(request.call.clone());
+            }
+            while session.answered_order.len() > MAX_ANSWERED_CALLS {
+                if let Some(old) = session.answered_order.pop_front() {
+                    session.answered_calls.remove(&old);
+                }
+            }
+        }
+        self.deliver(request, outcome);
+    }
+
+    /// Sends a station its final answer: in the acknowledgement, and on the response topic if the session subscribes to
+    /// it.
+    pub(super) fn deliver(&mut self, request: Request, outcome: Outcome) {
+        let client = request.client;
+        let Some(session) = self.sessions.get_mut(&client) else {
+            self.counts.answers_lost += 1;
+            return;
+        };
+        let mut user = vec![pair("call", &request.call)];
+        user.extend(outcome.user_properties);
+        let mut out = Vec::new();
+        for id in &request.packet_ids {
+            let properties = Properties { user: user.clone(), ..Properties::default() };
+            out.extend(session.inbound.acknowledge(*id, outcome.reason, properties));
+        }
+        let subscribed_qos = |topic: &String| {
+            session.filters.iter().filter(|(f, _)| f.matches(topic)).map(|(_, qos)| *qos).max()
+        };
+        let mut delivered = !request.packet_ids.is_empty();
+        if let Some((topic, qos)) =
+            request.response_topic.and_then(|t| subscribed_qos(&t).map(|qos| (t, qos)))
+        {
+            let properties = Properties {
+                correlation: request.correlation,
+                message_expiry: Some(ANSWER_EXPIRY_S),
+                user,
+                ..Properties::default()
+            };
+            let publish = Publish { qos, topic, properties, payload: outcome.body, ..Publish::default() };
+            delivered |= session.outbound.publish(publish).is_ok();
+        }
+        *(if delivered { &mut self.counts.answers } else { &mut self.counts.answers_lost }) += 1;
+        self.send(&client, out);
+        self.send_queued(&client);
+    }
+}
+
+/// Returns a refusal with the delay after which to retry, given in microseconds.
+fn refused(after: u64) -> Outcome {
+    let ms = after.div_ceil(1000).to_string();
+    Outcome {
+        reason: ReasonCode::QuotaExceeded,
+        user_properties: vec![pair("status", "refused"), pair("pushback", &ms)],
+        body: Vec::new(),
+    }
+}
--- a/src/front/stations/sessions/tests.rs
+++ b/src/front/stations/sessions/tests.rs
@@ -1,4 +1,7 @@
 use super::*;
+use crate::core::FinalAnswer;
+use ochreward_mqtt::packet::{Publish, Subscribe};
+use std::collections::BTreeSet;
 
 const SECOND: u64 = 1_000_000;
 
