Calls that may have run: logs and counters of what became of each

Change: one log event for each call that is delivered again (client, session, packet id, call; joined, answered from memory, or submitted with its age), and one for its answer with status and reason; the broker's front logs the same. Counters station_repeats, repeats_run, repeats_not_run. No decision changes.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -333,6 +333,13 @@
             || self.requests.len() >= self.bounds.held_requests;
         self.held_bytes += job.body.len();
         let (mut rejection, max_attempts) = self.check_repeat(&job);
+        if job.possible_repeat_age.is_some() {
+            count(if rejection.is_some() {
+                &self.counters.repeats_not_run
+            } else {
+                &self.counters.repeats_run
+            });
+        }
         // Executors identify a request by its client's id. A second request under an open id could be
         // cancelled or answered in place of the first.
         if rejection.is_none() && self.open_calls.contains(&job.client_request_id) {
--- a/src/front/mqtt/front.rs
+++ b/src/front/mqtt/front.rs
@@ -440,6 +440,10 @@
         let Some(message) = self.records.messages.get_mut(&number) else { return };
         message.stage = Stage::Running;
         let age_us = unix_ms.saturating_sub(message.sent_ms) * 1000;
+        if again {
+            let (client, call, age_ms) = (self.options.client_id.as_str(), &*message.call, age_us / 1_000);
+            tracing::info!(client, call, packet_ids = ?message.packet_ids, age_ms, "a message that may have run is submitted");
+        }
         if let Some((sketch, body)) = message.request.take() {
             let ticket = Ticket { front: self.id, conn: 0, seq: number };
             self.intake.push(Intake::Submit { ticket, sketch, body, age_us, again });
--- a/src/front/stations/front.rs
+++ b/src/front/stations/front.rs
@@ -256,6 +256,7 @@
         let gauges = [
             (&counters.station_triggers, counts.triggers),
             (&counters.station_duplicates, counts.duplicates),
+            (&counters.station_repeats, counts.repeats),
             (&counters.station_limited, counts.limited),
             (&counters.station_answers, counts.answers),
             (&counters.station_answers_lost, counts.answers_lost),
@@ -299,6 +300,7 @@
                 let ticket = Ticket { front: self.id, conn: 0, seq: number };
                 self.intake.push(Intake::Submit { ticket, sketch, body, age_us: 0, again });
             }
+            Action::Report(report) => report.log(),
         }
     }
 
--- a/src/front/stations/sessions.rs
+++ b/src/front/stations/sessions.rs
@@ -10,6 +10,7 @@
 
 mod expiry;
 mod login;
+mod reports;
 mod requests;
 mod subscriptions;
 
@@ -24,6 +25,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
+pub use reports::CallReport;
+
 /// The id of a connection.
 pub type ConnId = usize;
 
@@ -81,6 +84,8 @@
         /// Whether it may have run before.
         again: bool,
     },
+    /// Log what became of a call that was delivered more than once.
+    Report(CallReport),
 }
 
 /// Counts of events since the start.
@@ -90,6 +95,8 @@
     pub triggers: u64,
     /// Triggers whose request was already running or answered.
     pub duplicates: u64,
+    /// Triggers marked as delivered before whose call is not known here.
+    pub repeats: u64,
     /// Triggers refused by a rate limit.
     pub limited: u64,
     /// Final answers sent to a station or queued for it.
@@ -114,6 +121,8 @@
 
 /// A client's session, which may outlive its connection.
 struct Session {
+    /// Tells the session from others of the same client.
+    serial: u64,
     conn: Option<ConnId>,
     user: String,
     inbound: Inbound,
@@ -140,6 +149,7 @@
     user_buckets: BTreeMap<String, Bucket>,
     requests: BTreeMap<i64, Request>,
     next_number: i64,
+    next_session: u64,
     stopping: bool,
     /// Counts of events.
     pub counts: Counts,
@@ -162,6 +172,7 @@
             user_buckets: BTreeMap::new(),
             requests: BTreeMap::new(),
             next_number: 1,
+            next_session: 1,
             stopping: false,
             counts: Counts::default(),
             actions: Vec::new(),
--- a/src/front/stations/sessions/login.rs
+++ b/src/front/stations/sessions/login.rs
@@ -68,7 +68,10 @@
                 && now < s.disconnected_at + u64::from(s.expiry) * 1_000_000
         });
         let present = resumed.is_some();
+        let serial = self.next_session;
+        self.next_session += 1;
         let mut session = resumed.unwrap_or_else(|| Session {
+            serial,
             conn: None,
             user: user.clone(),
             inbound: Inbound::new(rules.receive_maximum, TOPIC_ALIAS_MAXIMUM),
--- a/src/front/stations/sessions/requests.rs
+++ b/src/front/stations/sessions/requests.rs
@@ -1,6 +1,7 @@
 //! Requests from publishing to the final answer: a message becomes a request, joins one that is running, or is answered from
 //! memory; a final answer is remembered and delivered.
 
+use super::reports::{CallEvent, CallReport};
 use super::{ANSWER_EXPIRY_S, Action, MAX_ANSWERED_CALLS, MAX_REMEMBERED_BODY_BYTES, Sessions, pair};
 use crate::core::FinalAnswer;
 use crate::front::stations::policy::User;
@@ -19,6 +20,22 @@
     pub(super) body: Vec<u8>,
 }
 
+impl Outcome {
+    fn property(&self, name: &str) -> Option<&str> {
+        self.user_properties.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
+    }
+
+    /// Returns what the answer says of the call: `served`, `refused` or `failed`.
+    fn status(&self) -> &str {
+        self.property("status").unwrap_or_default()
+    }
+
+    /// Returns the reason of a failure.
+    fn why(&self) -> Option<&str> {
+        self.property("why")
+    }
+}
+
 /// A request that the core has.
 pub(super) struct Request {
     pub(super) client: String,
@@ -27,6 +44,8 @@
     pub(super) packet_ids: Vec<u16>,
     pub(super) response_topic: Option<String>,
     pub(super) correlation: Option<Vec<u8>>,
+    /// It was submitted as a call that may have run: the delivery, to be completed by its answer.
+    pub(super) repeat: Option<CallReport>,
 }
 
 impl Sessions {
@@ -62,16 +81,25 @@
         let call: Arc<str> = fields.get("call").map_or("", String::as_str).into();
         let number = self.next_number;
         self.next_number += 1;
-        let request = Request {
+        let mut request = Request {
             client: client.to_string(),
             call: call.clone(),
             packet_ids: if publish.packet_id > 0 { vec![publish.packet_id] } else { Vec::new() },
             response_topic: publish.properties.response_topic.clone(),
             correlation: publish.properties.correlation.clone(),
+            repeat: None,
+        };
+        let report = |event: CallEvent| CallReport {
+            client: client.to_string(),
+            session: session.serial,
+            packet_id: publish.packet_id,
+            call: call.clone(),
+            event,
         };
         // The request is running: its answer acknowledges this delivery too.
         if let Some(known) = session.open_calls.get(&call).and_then(|number| self.requests.get_mut(number)) {
             self.counts.duplicates += 1;
+            self.actions.push(Action::Report(report(CallEvent::Joined)));
             known.packet_ids.extend(request.packet_ids);
             return;
         }
@@ -79,6 +107,8 @@
             session.answered_calls.get(&call).filter(|_| publish.dup || publish.packet_id == 0).cloned()
         {
             self.counts.duplicates += 1;
+            let status = outcome.status().to_string();
+            self.actions.push(Action::Report(report(CallEvent::AnsweredFromMemory { status })));
             return self.deliver(request, outcome);
         }
         let refuse = |reason: ReasonCode, why: &str| Outcome {
@@ -112,6 +142,12 @@
         }
         session.bucket.take();
         shared.take();
+        if publish.dup {
+            let submitted = report(CallEvent::SubmittedAsRepeat { age_us: 0 });
+            self.counts.repeats += 1;
+            self.actions.push(Action::Report(submitted.clone()));
+            request.repeat = Some(submitted);
+        }
         session.open_calls.insert(call, number);
         self.requests.insert(number, request);
         self.actions.push(Action::Serve { number, sketch, body: publish.payload, again: publish.dup });
@@ -144,14 +180,19 @@
     }
 
     pub(super) fn settle(&mut self, number: i64, outcome: Outcome) {
-        let Some(request) = self.requests.remove(&number) else { return };
+        let Some(mut request) = self.requests.remove(&number) else { return };
+        if let Some(report) = request.repeat.take() {
+            let (status, why) = (outcome.status().to_string(), outcome.why().map(str::to_string));
+            let event = CallEvent::RepeatAnswered { status, why };
+            self.actions.push(Action::Report(CallReport { event, ..report }));
+        }
         let Some(session) = self.sessions.get_mut(&request.client) else {
             self.counts.answers_lost += 1;
             return;
         };
         session.open_calls.remove(&request.call);
         // A refused request never ran: its repeat is a new request.
-        if outcome.user_properties.first().is_some_and(|(_, status)| status != "refused") {
+        if outcome.status() != "refused" {
             let mut remembered = outcome.clone();
             if remembered.body.len() > MAX_REMEMBERED_BODY_BYTES {
                 remembered.body.clear();
--- a/src/front/stations/sessions/tests.rs
+++ b/src/front/stations/sessions/tests.rs
@@ -1,3 +1,4 @@
+use super::reports::CallEvent;
 use super::*;
 use crate::core::FinalAnswer;
 use ochreward_mqtt::packet::{Publish, Subscribe};
@@ -12,6 +13,7 @@
     sent: BTreeMap<ConnId, Vec<Packet>>,
     closed: BTreeSet<ConnId>,
     serves: Vec<(i64, ParsedRequest, bool)>,
+    reports: Vec<CallReport>,
 }
 
 fn test_sessions(user_keys: &str) -> TestSessions {
@@ -28,7 +30,14 @@
         pushback: 500_000,
     };
     let sessions = Sessions::new(rules, Policy::read(&text).expect("a policy"));
-    TestSessions { sessions, now: SECOND, sent: BTreeMap::new(), closed: BTreeSet::new(), serves: Vec::new() }
+    TestSessions {
+        sessions,
+        now: SECOND,
+        sent: BTreeMap::new(),
+        closed: BTreeSet::new(),
+        serves: Vec::new(),
+        reports: Vec::new(),
+    }
 }
 
 fn connect(client: &str, expiry: u32) -> Connect {
@@ -75,6 +84,7 @@
                         self.sessions.password_verified(self.now, conn, password == b"p")
                     }
                     Action::Serve { number, sketch, again, .. } => self.serves.push((number, sketch, again)),
+                    Action::Report(report) => self.reports.push(report),
                 }
             }
         }
@@ -187,6 +197,8 @@
     let sent = fixture.publish(3, Publish { dup: true, ..trigger(5, 1, "alert-send") });
     assert_eq!(user_property(&sent[0], "status").as_deref(), Some("served"));
     assert_eq!((fixture.serves.len(), fixture.sessions.counts.duplicates), (1, 2));
+    let events: Vec<&CallEvent> = fixture.reports.iter().map(|r| &r.event).collect();
+    assert_eq!(events, [&CallEvent::Joined, &CallEvent::AnsweredFromMemory { status: "served".into() }]);
 }
 
 #[test]
