A station's repeat of unknown age no longer counts as sent just now

What callers saw: a level-log that a station sent again (DUP) after its dispatcher was killed ran a second time, 2.24 s after the first, and was acknowledged as served; workers drop a repeat for 1.5 s only. Cause: src/front/stations/front.rs of, run_action, Action::Serve submitted each repeat with 'age_us: 0', and RequestSpec::possible_repeat_age could not say 'unknown'. src/core/mod.rs, check_repeat and repeat_send_deadline, then counted the key's window from the arrival of the repeat. The new process can't know when the station first sent it. Change: PriorDelivery (core) and Delivery (fronts) tell first delivery, known age and unknown age apart. The age of a station's repeat comes from its 'sent' field; without one, or with one in the future, a keyed call is failed unrun with a reason. Why it works: the only times that open the window are the station's own. Tests changed: after_a_kill_repeats_run_except_alerts and a_kill_at_any_step_... asserted that a keyed repeat without any time runs, which is the fault; their keyed calls now tell 'sent' and must run as before, and a keyed call without it must fail and run once at the most (32 kills in place of 24).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,11 +6,12 @@
 //! executors do. [`EngineLimits`] limits the attempts per request, and the requests and bytes of bodies held.
 
 mod attempt_result;
+mod repeats;
 mod timers;
 
 use crate::api::{
-    Action, Class, Effect, Event, FunctionId, KeyScope, Micros, Outcome, ReplicaStatus, RequestId, Settings,
-    WorkerEntry, WorkerId,
+    Action, Class, Event, FunctionId, Micros, Outcome, ReplicaStatus, RequestId, Settings, WorkerEntry,
+    WorkerId,
 };
 use crate::control::{Budget, BudgetDivision, ColdStartReport, LearnedState, Router};
 use crate::counters::{Counters, count};
@@ -22,6 +23,8 @@
 use timers::{TimerKind, Timers};
 
 pub use attempt_result::{AttemptId, AttemptResult};
+use repeats::Admission;
+pub use repeats::PriorDelivery;
 
 /// The origin of a request and the destination of its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -59,8 +62,8 @@
     pub idempotency_key: Option<Arc<str>>,
     /// The request body.
     pub body: Vec<u8>,
-    /// Set if the request may have run before: the time since the client sent it.
-    pub possible_repeat_age: Option<Micros>,
+    /// Whether it may have been delivered before, and have run.
+    pub prior_delivery: PriorDelivery,
 }
 
 /// The final answer to a request.
@@ -333,7 +336,7 @@
             || self.requests.len() >= self.bounds.held_requests;
         self.held_bytes += job.body.len();
         let (mut rejection, max_attempts) = self.check_repeat(&job);
-        if job.possible_repeat_age.is_some() {
+        if job.prior_delivery != PriorDelivery::None {
             count(if rejection.is_some() {
                 &self.counters.repeats_not_run
             } else {
@@ -382,21 +385,11 @@
     /// Returns the reason why a request that may have run before must not run again, if there is one, and the
     /// maximum number of its attempts.
     fn check_repeat(&self, job: &RequestSpec) -> (Option<&'static str>, usize) {
-        let max_attempts = self.bounds.attempts;
-        let (Some(age), Some(class)) = (job.possible_repeat_age, self.classes.get(job.class)) else {
-            return (None, max_attempts);
-        };
-        match class.effect {
-            Effect::Idempotent => (None, max_attempts),
-            Effect::AtMostOnce => (Some("may have run before"), max_attempts),
-            // Executors drop repeats only within the repeat window, and the first attempt may have been sent
-            // as soon as the client sent the request. A second attempt of this repeat could arrive after the
-            // window, so the repeat gets one attempt.
-            Effect::Deduplicated => {
-                let recognised = class.key_scope == KeyScope::All && job.idempotency_key.is_some();
-                let too_late = age.saturating_add(self.bounds.send_lag) >= class.repeat_window;
-                (Some("may have run before, too long ago to repeat").filter(|_| too_late || !recognised), 1)
-            }
+        let class = self.classes.get(job.class);
+        match class.map(|class| repeats::admit(class, job, self.bounds.send_lag)) {
+            None | Some(Admission::Unrestricted) => (None, self.bounds.attempts),
+            Some(Admission::SingleAttempt) => (None, 1),
+            Some(Admission::Denied(reason)) => (Some(reason), 0),
         }
     }
 
@@ -657,19 +650,10 @@
     }
 
     /// Returns the latest time at which the attempt just started may be sent, if an earlier one may have run.
-    /// Executors drop repeats of a key only within the repeat window, which starts at the first possible run,
-    /// and the attempt may wait long for its connection; sent after the window, it could run a second time.
     fn repeat_send_deadline(&self, id: RequestId, now: Micros) -> Option<Micros> {
         let request = self.requests.get(&id)?;
-        let class = self.classes.get(request.job.class).filter(|c| c.effect == Effect::Deduplicated)?;
-        let first_sent_at = request.attempts.first().map_or(now, |a| a.sent_at);
-        let earlier = request.attempts.split_last().map_or(&[][..], |(_, earlier)| earlier);
-        let window_start = match request.job.possible_repeat_age {
-            Some(age) => first_sent_at.saturating_sub(age),
-            None if earlier.iter().any(|a| a.may_have_run) => first_sent_at,
-            None => return None,
-        };
-        Some(window_start.saturating_add((REPEAT_SEND_FRACTION * class.repeat_window as f64) as Micros))
+        let class = self.classes.get(request.job.class)?;
+        repeats::send_deadline(class, request.job.prior_delivery, &request.attempts, now)
     }
 
     /// Gives the final answer, unless it has been given or is no longer needed.
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the engine: final answers, repeats of requests, limits, and recalls of attempts.
 
 use super::*;
+use crate::api::{Effect, KeyScope};
 
 const SECOND: Micros = 1_000_000;
 
@@ -57,6 +58,17 @@
 }
 
 fn submit(engine: &mut Engine, seq: i64, class: usize, repeat: Option<Micros>, body: usize) -> Vec<Command> {
+    let prior_delivery = repeat.map_or(PriorDelivery::None, PriorDelivery::SentAgo);
+    submit_delivered(engine, seq, class, prior_delivery, body)
+}
+
+fn submit_delivered(
+    engine: &mut Engine,
+    seq: i64,
+    class: usize,
+    prior_delivery: PriorDelivery,
+    body: usize,
+) -> Vec<Command> {
     let job = RequestSpec {
         class,
         tenant: 0,
@@ -69,7 +81,7 @@
         client_request_id: format!("c{seq}").into(),
         idempotency_key: Some("k".into()),
         body: vec![0; body],
-        possible_repeat_age: repeat,
+        prior_delivery,
     };
     engine.submit(10, Ticket { front: 0, conn: 0, seq }, job);
     engine.commands.drain(..).collect()
@@ -100,6 +112,19 @@
     }
 }
 
+/// Guards against: a repeat of unknown age that is taken for one sent just now, and runs after its key's window.
+#[test]
+fn repeat_of_unknown_age_runs_again_only_if_its_class_is_idempotent() {
+    for (class, runs) in [(0, true), (1, false), (2, false)] {
+        let mut engine = engine();
+        let commands = submit_delivered(&mut engine, 1, class, PriorDelivery::AtUnknownTime, 0);
+        assert_eq!(sends_attempt(&commands), runs, "{class}");
+        if !runs {
+            assert!(matches!(answers(&commands)[..], [FinalAnswer::Failed(_)]), "{class}");
+        }
+    }
+}
+
 #[test]
 fn second_request_with_an_open_id_fails() {
     let mut engine = engine();
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! The fronts: each decodes the bytes of its protocol into requests for the core and encodes final answers into bytes.
 //! Scheduling decisions are left to the core; each front's own limits bound its connections, buffers and sessions.
 
+mod delivery;
 mod info;
 pub mod mqtt;
 pub mod stations;
@@ -8,6 +9,7 @@
 
 use crate::core::Ticket;
 
+pub use delivery::Delivery;
 pub use info::{Fields, Invalid, ParsedRequest};
 
 /// An event from a client, in the form that all fronts share.
@@ -21,10 +23,8 @@
         sketch: ParsedRequest,
         /// Its body.
         body: Vec<u8>,
-        /// How long ago its client sent it, in microseconds; 0 if the protocol does not carry that.
-        age_us: u64,
-        /// Whether it may have been submitted before, to this process or another.
-        again: bool,
+        /// When its client sent it, as far as known.
+        delivery: Delivery,
     },
     /// The client no longer waits for this request.
     Abandon(Ticket),
--- a/src/front/mqtt/front.rs
+++ b/src/front/mqtt/front.rs
@@ -7,7 +7,7 @@
 use super::records::{Message, Records, Stage};
 use crate::core::{FinalAnswer, Ticket};
 use crate::counters::{Counters, count};
-use crate::front::{Fields, Intake, Invalid, ParsedRequest};
+use crate::front::{Delivery, Fields, Intake, Invalid, ParsedRequest};
 use crate::net::{Closed, Connection, Malformed, Poll, PollEvent, ProtocolHandler, Ring};
 use ochreward_mqtt::packet::{Connack, EncodeError, Packet, Publish};
 use ochreward_mqtt::{Properties, Qos, ReasonCode, Version, Violation, decode};
@@ -439,14 +439,17 @@
     fn submit(&mut self, unix_ms: u64, number: i64, again: bool) {
         let Some(message) = self.records.messages.get_mut(&number) else { return };
         message.stage = Stage::Running;
-        let age_us = unix_ms.saturating_sub(message.sent_ms) * 1000;
+        let age_ms = unix_ms.saturating_sub(message.sent_ms);
+        let age_us = age_ms.saturating_mul(1_000);
+        let delivery =
+            if again { Delivery::Repeat { age_us: Some(age_us) } } else { Delivery::First { age_us } };
         if again {
-            let (client, call, age_ms) = (self.options.client_id.as_str(), &*message.call, age_us / 1_000);
+            let (client, call) = (self.options.client_id.as_str(), &*message.call);
             tracing::info!(client, call, packet_ids = ?message.packet_ids, age_ms, "a message that may have run is submitted");
         }
         if let Some((sketch, body)) = message.request.take() {
             let ticket = Ticket { front: self.id, conn: 0, seq: number };
-            self.intake.push(Intake::Submit { ticket, sketch, body, age_us, again });
+            self.intake.push(Intake::Submit { ticket, sketch, body, delivery });
         }
     }
 
--- a/src/front/stations/front.rs
+++ b/src/front/stations/front.rs
@@ -164,7 +164,7 @@
     }
 
     /// Handles readiness of one of this front's descriptors.
-    pub fn ready(&mut self, poll: &mut Poll, now: u64, ready: PollEvent) {
+    pub fn ready(&mut self, poll: &mut Poll, now: u64, unix_ms: u64, ready: PollEvent) {
         if self.listener.as_ref().is_some_and(|l| l.owns_token(ready.token)) {
             return self.accept(poll, now);
         }
@@ -172,7 +172,7 @@
             for (conn, serial, matches) in self.verifier.take_results() {
                 let same = |s: &Station| s.link.io.token().serial == serial;
                 if self.stations.get(conn).is_some_and(same) {
-                    self.sessions.password_verified(now, conn, matches);
+                    self.sessions.password_verified(now, unix_ms, conn, matches);
                 }
             }
             return self.run_actions(poll, now);
@@ -185,7 +185,7 @@
         let result = station.link.handle_event(poll, ready, &mut packets);
         let (violation, ended) = (station.link.handler.violation.take(), station.link.io.read_closed);
         for packet in packets.drain(..) {
-            self.sessions.packet_received(now, conn, packet);
+            self.sessions.packet_received(now, unix_ms, conn, packet);
         }
         self.packets = packets;
         if let Some(violation) = violation {
@@ -293,12 +293,12 @@
             Action::Verify(conn, password, hash) => {
                 let Some(station) = self.stations.get(conn) else { return };
                 if !self.verifier.submit(conn, station.link.io.token().serial, password, hash) {
-                    self.sessions.password_verified(now, conn, false);
+                    self.sessions.password_unverified(conn);
                 }
             }
-            Action::Serve { number, sketch, body, again } => {
+            Action::Serve { number, sketch, body, delivery } => {
                 let ticket = Ticket { front: self.id, conn: 0, seq: number };
-                self.intake.push(Intake::Submit { ticket, sketch, body, age_us: 0, again });
+                self.intake.push(Intake::Submit { ticket, sketch, body, delivery });
             }
             Action::Report(report) => report.log(),
         }
--- a/src/front/stations/sessions.rs
+++ b/src/front/stations/sessions.rs
@@ -16,7 +16,7 @@
 
 use super::policy::Policy;
 use super::quota::Bucket;
-use crate::front::ParsedRequest;
+use crate::front::{Delivery, ParsedRequest};
 use ochreward_mqtt::delivery::{Inbound, Outbound};
 use ochreward_mqtt::packet::{Connack, Connect, DisconnectOrAuth, Packet, Version, Will};
 use ochreward_mqtt::topic::TopicFilter;
@@ -81,8 +81,8 @@
         sketch: ParsedRequest,
         /// Its body.
         body: Vec<u8>,
-        /// Whether it may have run before.
-        again: bool,
+        /// When the station sent it, as far as known.
+        delivery: Delivery,
     },
     /// Log what became of a call that was delivered more than once.
     Report(CallReport),
@@ -264,8 +264,8 @@
         self.connections.remove(&conn);
     }
 
-    /// Handles a packet from a station.
-    pub fn packet_received(&mut self, now: u64, conn: ConnId, packet: Packet) {
+    /// Handles a packet from a station. `unix_ms` is the time of the wall clock, in Unix milliseconds.
+    pub fn packet_received(&mut self, now: u64, unix_ms: u64, conn: ConnId, packet: Packet) {
         match (self.connections.get_mut(&conn), packet) {
             (None, _) => {}
             (Some(ConnState::New { since }), Packet::Connect(connect)) => {
@@ -278,7 +278,7 @@
             (Some(ConnState::Connected { client, last_received, .. }), packet) => {
                 *last_received = now;
                 let client = client.clone();
-                if let Err(violation) = self.handle_packet(now, conn, &client, packet) {
+                if let Err(violation) = self.handle_packet(now, unix_ms, conn, &client, packet) {
                     self.protocol_violated(now, conn, &violation);
                 }
             }
@@ -311,13 +311,14 @@
     fn handle_packet(
         &mut self,
         now: u64,
+        unix_ms: u64,
         conn: ConnId,
         client: &str,
         packet: Packet,
     ) -> Result<(), Violation> {
         let Some(session) = self.sessions.get_mut(client) else { return Ok(()) };
         match packet {
-            Packet::Publish(publish) => self.handle_publish(now, client, *publish)?,
+            Packet::Publish(publish) => self.handle_publish(now, unix_ms, client, *publish)?,
             Packet::Puback(ack) => {
                 session.outbound.puback(&ack)?;
                 self.send_queued(client);
--- a/src/front/stations/sessions/expiry.rs
+++ b/src/front/stations/sessions/expiry.rs
@@ -1,6 +1,7 @@
 //! What time brings: silent connections, due wills, and sessions that expire.
 
 use super::{Action, ConnState, LOGIN_TIMEOUT_US, Session, Sessions};
+use crate::front::Delivery;
 use ochreward_mqtt::Properties;
 use ochreward_mqtt::ReasonCode;
 use ochreward_mqtt::packet::Publish;
@@ -59,7 +60,7 @@
                 let properties = Properties { will_delay: None, ..will.properties };
                 let publish =
                     Publish { topic: will.topic, properties, payload: will.payload, ..Publish::default() };
-                self.handle_trigger(now, &client, publish);
+                self.handle_trigger(now, Delivery::First { age_us: 0 }, &client, publish);
             }
         }
         // An expired session is kept until its open requests are answered, so that repeats of them are still recognised.
--- a/src/front/stations/sessions/login.rs
+++ b/src/front/stations/sessions/login.rs
@@ -38,14 +38,22 @@
         self.actions.push(Action::Verify(conn, password, hash));
     }
 
-    /// Handles the result of a password check: opens or resumes the session, or refuses the connection.
-    pub fn password_verified(&mut self, now: u64, conn: ConnId, matches: bool) {
+    /// Refuses a connection whose password can't be checked.
+    pub fn password_unverified(&mut self, conn: ConnId) {
+        if let Some(ConnState::Authenticating { connect, .. }) = self.connections.remove(&conn) {
+            self.refuse_connection(conn, connect.version, ReasonCode::BadUserNameOrPassword);
+        }
+    }
+
+    /// Handles the result of a password check: opens or resumes the session, or refuses the connection. `unix_ms` is the
+    /// time of the wall clock, in Unix milliseconds.
+    pub fn password_verified(&mut self, now: u64, unix_ms: u64, conn: ConnId, matches: bool) {
+        if !matches {
+            return self.password_unverified(conn);
+        }
         let Some(ConnState::Authenticating { connect, early, .. }) = self.connections.remove(&conn) else {
             return;
         };
-        if !matches {
-            return self.refuse_connection(conn, connect.version, ReasonCode::BadUserNameOrPassword);
-        }
         let client = connect.client_id.clone();
         if !self.sessions.contains_key(&client)
             && self.sessions.len() >= self.rules.sessions
@@ -119,7 +127,7 @@
         self.connections
             .insert(conn, ConnState::Connected { client: client.clone(), last_received: now, keep_alive });
         self.send_queued(&client);
-        early.into_iter().for_each(|packet| self.packet_received(now, conn, packet));
+        early.into_iter().for_each(|packet| self.packet_received(now, unix_ms, conn, packet));
     }
 
     /// Evicts the session that has been disconnected longest, unless it has open requests.
--- a/src/front/stations/sessions/reports.rs
+++ b/src/front/stations/sessions/reports.rs
@@ -29,8 +29,8 @@
     },
     /// The call is not known here and may have run: it was submitted as a repeat.
     SubmittedAsRepeat {
-        /// The time since the station first sent it, in microseconds.
-        age_us: u64,
+        /// The time since the station first sent it, in microseconds; none if that is not known.
+        age_us: Option<u64>,
     },
     /// The final answer to a call that was submitted as a repeat.
     RepeatAnswered {
@@ -61,13 +61,13 @@
                 )
             }
             CallEvent::SubmittedAsRepeat { age_us } => {
-                let age_ms = age_us / 1_000;
+                let age_ms = age_us.map(|age_us| age_us / 1_000);
                 tracing::info!(
                     client,
                     session,
                     packet_id,
                     call,
-                    age_ms,
+                    ?age_ms,
                     "a call that may have run is submitted"
                 )
             }
--- a/src/front/stations/sessions/requests.rs
+++ b/src/front/stations/sessions/requests.rs
@@ -6,7 +6,7 @@
 use crate::core::FinalAnswer;
 use crate::front::stations::policy::User;
 use crate::front::stations::quota::Bucket;
-use crate::front::{Fields, Invalid, ParsedRequest};
+use crate::front::{Delivery, Fields, Invalid, ParsedRequest};
 use ochreward_mqtt::delivery::Received;
 use ochreward_mqtt::packet::Publish;
 use ochreward_mqtt::{Properties, ReasonCode, Violation};
@@ -48,10 +48,16 @@
     pub(super) repeat: Option<CallReport>,
 }
 
+/// Returns when the station says that it first sent a message, in Unix milliseconds.
+fn sent_ms(publish: &Publish) -> Option<u64> {
+    publish.properties.user("sent").and_then(|sent| sent.parse().ok())
+}
+
 impl Sessions {
     pub(super) fn handle_publish(
         &mut self,
         now: u64,
+        unix_ms: u64,
         client: &str,
         mut publish: Publish,
     ) -> Result<(), Violation> {
@@ -68,12 +74,17 @@
                 return Ok(());
             }
         }
-        self.handle_trigger(now, client, publish);
+        let delivery = if publish.dup {
+            Delivery::repeat(sent_ms(&publish), unix_ms)
+        } else {
+            Delivery::First { age_us: 0 }
+        };
+        self.handle_trigger(now, delivery, client, publish);
         Ok(())
     }
 
     /// Turns a message into a request, or answers it with the reason why it is refused.
-    pub(super) fn handle_trigger(&mut self, now: u64, client: &str, publish: Publish) {
+    pub(super) fn handle_trigger(&mut self, now: u64, delivery: Delivery, client: &str, publish: Publish) {
         let Some(session) = self.sessions.get_mut(client) else { return };
         self.counts.triggers += 1;
         let user = self.policy.user(&session.user);
@@ -142,15 +153,15 @@
         }
         session.bucket.take();
         shared.take();
-        if publish.dup {
-            let submitted = report(CallEvent::SubmittedAsRepeat { age_us: 0 });
+        if let Delivery::Repeat { age_us } = delivery {
+            let submitted = report(CallEvent::SubmittedAsRepeat { age_us });
             self.counts.repeats += 1;
             self.actions.push(Action::Report(submitted.clone()));
             request.repeat = Some(submitted);
         }
         session.open_calls.insert(call, number);
         self.requests.insert(number, request);
-        self.actions.push(Action::Serve { number, sketch, body: publish.payload, again: publish.dup });
+        self.actions.push(Action::Serve { number, sketch, body: publish.payload, delivery });
     }
 
     /// Delivers the core's final answer to a request.
--- a/src/front/stations/sessions/tests.rs
+++ b/src/front/stations/sessions/tests.rs
@@ -12,7 +12,7 @@
     now: u64,
     sent: BTreeMap<ConnId, Vec<Packet>>,
     closed: BTreeSet<ConnId>,
-    serves: Vec<(i64, ParsedRequest, bool)>,
+    serves: Vec<(i64, ParsedRequest, Delivery)>,
     reports: Vec<CallReport>,
 }
 
@@ -81,9 +81,11 @@
                     }
                     Action::Close(conn) => drop(self.closed.insert(conn)),
                     Action::Verify(conn, password, _) => {
-                        self.sessions.password_verified(self.now, conn, password == b"p")
+                        self.sessions.password_verified(self.now, self.now / 1_000, conn, password == b"p")
+                    }
+                    Action::Serve { number, sketch, delivery, .. } => {
+                        self.serves.push((number, sketch, delivery))
                     }
-                    Action::Serve { number, sketch, again, .. } => self.serves.push((number, sketch, again)),
                     Action::Report(report) => self.reports.push(report),
                 }
             }
@@ -91,7 +93,7 @@
     }
 
     fn send(&mut self, conn: ConnId, packet: Packet) -> Vec<Packet> {
-        self.sessions.packet_received(self.now, conn, packet);
+        self.sessions.packet_received(self.now, self.now / 1_000, conn, packet);
         self.run_actions();
         self.sent.remove(&conn).unwrap_or_default()
     }
@@ -166,8 +168,8 @@
         ]
     );
     assert_eq!(fixture.publish(1, trigger(5, 1, "flow-read")), []);
-    let (number, sketch, again) = fixture.serves[0].clone();
-    assert!(&*sketch.call == "0000000000000001" && !again);
+    let (number, sketch, delivery) = fixture.serves[0].clone();
+    assert!(&*sketch.call == "0000000000000001" && delivery == Delivery::First { age_us: 0 });
     let sent = fixture.answer(1, number, FinalAnswer::Served(b"body".to_vec()));
     assert!(matches!(&sent[0], Packet::Puback(a) if a.packet_id == 5 && a.reason == ReasonCode::Success));
     assert_eq!(user_property(&sent[0], "status").as_deref(), Some("served"));
@@ -206,7 +208,22 @@
     let mut fixture = test_sessions("");
     fixture.connect(1, connect("a", 0));
     fixture.publish(1, Publish { dup: true, ..trigger(1, 1, "alert-send") });
-    assert!(fixture.serves[0].2);
+    assert_eq!(fixture.serves[0].2, Delivery::Repeat { age_us: None });
+}
+
+/// Guards against: an age of 0 for a repeat of which only the station knows when it was sent.
+#[test]
+fn age_of_an_unknown_repeat_is_the_time_since_its_sent_field_or_unknown() {
+    let mut fixture = test_sessions("");
+    fixture.now = 5 * SECOND;
+    fixture.connect(1, connect("a", 0));
+    let repeats = [("2000", Some(3 * SECOND)), ("5001", None), ("yesterday", None)];
+    for (number, (sent, age_us)) in (1..).zip(repeats) {
+        let mut publish = trigger(number, number.into(), "level-log");
+        publish.properties.user.push(pair("sent", sent));
+        fixture.publish(1, Publish { dup: true, ..publish });
+        assert_eq!(fixture.serves.last().map(|s| s.2), Some(Delivery::Repeat { age_us }), "{sent}");
+    }
 }
 
 #[test]
--- a/src/front/thrift/front.rs
+++ b/src/front/thrift/front.rs
@@ -5,7 +5,7 @@
 use super::wire::{self, Call};
 use crate::core::{FinalAnswer, Ticket};
 use crate::counters::{Counters, count};
-use crate::front::{Intake, Invalid, ParsedRequest};
+use crate::front::{Delivery, Intake, Invalid, ParsedRequest};
 use crate::net::{Accepted, Closed, Connection, Listener, Malformed, Poll, PollEvent, ProtocolHandler, Ring};
 use slab::Slab;
 use std::collections::BTreeSet;
@@ -479,7 +479,8 @@
                     Ok(sketch) => {
                         link.handler.open_requests.insert(seq);
                         let ticket = self.ticket(slot, seq);
-                        self.intake.push(Intake::Submit { ticket, sketch, body, age_us: 0, again: false });
+                        let delivery = Delivery::First { age_us: 0 };
+                        self.intake.push(Intake::Submit { ticket, sketch, body, delivery });
                     }
                     Err(invalid) => {
                         let text = invalid.to_string();
--- a/src/node.rs
+++ b/src/node.rs
@@ -361,7 +361,8 @@
             PEERS => self.peers.iter_mut().for_each(|p| p.ready(&mut self.poll, self.now, ready)),
             STATIONS => {
                 if let Some(front) = &mut self.stations {
-                    front.ready(&mut self.poll, self.now, ready);
+                    let unix_ms = self.clock.unix_ms(self.now);
+                    front.ready(&mut self.poll, self.now, unix_ms, ready);
                 }
             }
             FIRST_MQTT.. => {
--- a/src/node/dispatch.rs
+++ b/src/node/dispatch.rs
@@ -43,9 +43,9 @@
                 }
             }
             for item in intake {
-                let Intake::Submit { ticket, sketch, body, age_us, again } = item else { continue };
+                let Intake::Submit { ticket, sketch, body, delivery } = item else { continue };
                 let class_removed = self.settings.removed_classes.contains(&sketch.class);
-                match build_job(&self.settings, sketch, body, age_us.max(self.stalled_us), again) {
+                match build_job(&self.settings, sketch, body, delivery, self.stalled_us) {
                     Ok(job) => self.engine.submit(self.now, ticket, job),
                     Err(invalid) => self.refuse_invalid(ticket, &invalid, class_removed),
                 }
--- a/src/node/request_specs.rs
+++ b/src/node/request_specs.rs
@@ -5,8 +5,8 @@
 
 use crate::api::Effect;
 use crate::config::Settings;
-use crate::core::RequestSpec;
-use crate::front::{Invalid, ParsedRequest};
+use crate::core::{PriorDelivery, RequestSpec};
+use crate::front::{Delivery, Invalid, ParsedRequest};
 
 /// Subtracted from a request's time-out, in microseconds: covers the network between client and dispatcher in both
 /// directions and a late turn of the loop, since the client's time runs from when it sent the request.
@@ -14,14 +14,14 @@
 /// The largest request body, in bytes, that the protocol allows.
 const MAX_BODY_BYTES: usize = 16 * 1024;
 
-/// Builds the job, with the names of class and tenant resolved to their places. `age_us` is the time since the client sent
-/// the request, as far as known; `again` marks a request that may have been delivered before.
+/// Builds the job, with the names of class and tenant resolved to their places. `stalled_us` is how long the process did
+/// not read its input: the client may have sent the request that much earlier than its front knows.
 pub(super) fn build_job(
     settings: &Settings,
     sketch: ParsedRequest,
     body: Vec<u8>,
-    age_us: u64,
-    again: bool,
+    delivery: Delivery,
+    stalled_us: u64,
 ) -> Result<RequestSpec, Invalid> {
     let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
     let class =
@@ -44,6 +44,14 @@
         None if settings.tenants.is_empty() => 0,
         None => return Err(Invalid { field: "org", why: "is missing" }),
     };
+    let (prior_delivery, age_us) = match delivery {
+        Delivery::First { age_us } => (PriorDelivery::None, age_us.max(stalled_us)),
+        Delivery::Repeat { age_us: Some(age_us) } => {
+            let age_us = age_us.max(stalled_us);
+            (PriorDelivery::SentAgo(age_us), age_us)
+        }
+        Delivery::Repeat { age_us: None } => (PriorDelivery::AtUnknownTime, stalled_us),
+    };
     Ok(RequestSpec {
         class,
         tenant,
@@ -56,6 +64,6 @@
         client_request_id: sketch.call,
         idempotency_key: sketch.key,
         body,
-        possible_repeat_age: again.then_some(age_us),
+        prior_delivery,
     })
 }
--- a/tests/sockets/stations.rs
+++ b/tests/sockets/stations.rs
@@ -9,7 +9,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 const MAX_PACKET_BYTES: usize = 1 << 20;
 
@@ -148,17 +148,31 @@
     Publish { packet_id: id, qos, topic, properties, payload: b"in".to_vec(), ..Publish::default() }
 }
 
+/// Adds the time at which the station first sent the call.
+fn with_sent(mut publish: Publish, unix_ms: u64) -> Publish {
+    publish.properties.user.push(("sent".to_string(), unix_ms.to_string()));
+    publish
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
+}
+
 fn publish(publish: Publish) -> Packet {
     Packet::Publish(Box::new(publish))
 }
 
-fn status(packet: &Packet) -> Option<String> {
+fn property(packet: &Packet, name: &str) -> Option<String> {
     let properties = match packet {
         Packet::Puback(ack) | Packet::Pubrec(ack) => &ack.properties,
         Packet::Publish(publish) => &publish.properties,
         _ => return None,
     };
-    properties.user("status").map(str::to_string)
+    properties.user(name).map(str::to_string)
+}
+
+fn status(packet: &Packet) -> Option<String> {
+    property(packet, "status")
 }
 
 #[test]
@@ -273,9 +287,10 @@
     let fixture = Fixture::new("");
     let (mut station, _) = Station::connect(fixture.stations, "st-1", "secret");
     let classes = ["alert-send", "flow-read", "level-log"];
+    let sent = unix_ms();
     let of = |i: usize, dup| Publish {
         dup,
-        ..trigger("st-1", i as u16 + 1, Qos::AtLeastOnce, classes[i], 100 + i as u64)
+        ..with_sent(trigger("st-1", i as u16 + 1, Qos::AtLeastOnce, classes[i], 100 + i as u64), sent)
     };
     for i in 0..3 {
         station.send(&publish(of(i, false)));
@@ -300,6 +315,41 @@
     drop(program);
 }
 
+/// Guards against: a keyed repeat that is taken for a call sent just now, and runs again after its key's window.
+#[test]
+fn keyed_repeat_runs_again_only_if_the_time_of_its_first_sending_is_known_to_be_inside_the_window() {
+    let fixture = Fixture::new("");
+    let Fixture { executor, operator, config_json, program, .. } = fixture;
+    program.kill();
+    let (program, stations) = start(&operator, &config_json);
+    let (mut station, _) = Station::connect(stations, "st-1", "secret");
+    let repeat =
+        |id: u16| Publish { dup: true, ..trigger("st-1", id, Qos::AtLeastOnce, "level-log", id.into()) };
+    let now = unix_ms();
+    // No time; a time in the future, which only shows that the clocks differ; a time beyond the window of 15 s.
+    let not_run = [repeat(1), with_sent(repeat(2), now + 60_000), with_sent(repeat(3), now - 16_000)];
+    for message in not_run {
+        station.send(&publish(message));
+        let puback = station.receive().expect("a PUBACK");
+        assert_eq!(status(&puback).as_deref(), Some("failed"), "{puback:?}");
+        assert!(
+            property(&puback, "why").is_some_and(|why| why.contains("may have run before")),
+            "{puback:?}"
+        );
+        assert_eq!(executor.left(), 0);
+    }
+    station.send(&publish(with_sent(repeat(4), now - 5_000)));
+    let mut line = executor.next();
+    assert!(line.value.to_string().contains("5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
+    line.ok(b"again");
+    assert_eq!(station.receive().as_ref().and_then(status).as_deref(), Some("served"));
+    let counters = program.counters();
+    assert_eq!(
+        (counters["station_repeats"], counters["repeats_run"], counters["repeats_not_run"]),
+        (4, 1, 3)
+    );
+}
+
 /// The step that a message has reached when the dispatcher is killed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Step {
@@ -315,13 +365,20 @@
     let Fixture { executor, operator, config_json, mut program, mut stations, .. } = fixture;
     let steps = [Step::Sent, Step::AtTheExecutor, Step::Answered, Step::Acknowledged];
     let (mut kills, mut finals, mut call) = (0, 0, 0x7000);
-    for class in ["alert-send", "level-log", "flow-read"] {
+    // A keyed call runs again only if it tells when it was sent.
+    for (class, tells_sent) in
+        [("alert-send", true), ("level-log", true), ("level-log", false), ("flow-read", false)]
+    {
         for qos in [Qos::AtLeastOnce, Qos::ExactlyOnce] {
             for step in steps {
                 call += 1;
                 // Each case has its own client, since a QoS 2 packet id stays in use until it is released.
                 let client = format!("st-{call}");
-                let of = |dup| Publish { dup, ..trigger(&client, 1, qos, class, call) };
+                let sent = unix_ms();
+                let of = |dup| {
+                    let message = Publish { dup, ..trigger(&client, 1, qos, class, call) };
+                    if tells_sent { with_sent(message, sent) } else { message }
+                };
                 let (mut station, _) = Station::connect(stations, &client, "secret");
                 station.send(&publish(of(false)));
                 let (mut runs, mut answers) = (0, Vec::new());
@@ -368,8 +425,8 @@
                 runs += executor.left();
                 let [answer] = &answers[..] else { panic!("{answers:?}: {class} {qos:?} {step:?}") };
                 finals += 1;
-                if class == "alert-send" {
-                    assert!(runs <= 1, "{runs} runs of an alert: {qos:?} {step:?}");
+                if class == "alert-send" || !tells_sent && class == "level-log" {
+                    assert!(runs <= 1, "{runs} runs of {class}: {qos:?} {step:?}");
                     let was_not_run = answer == "failed";
                     assert!(was_not_run || answer == "served", "{answer}: {qos:?} {step:?}");
                 } else {
@@ -378,7 +435,7 @@
             }
         }
     }
-    assert_eq!((kills, finals), (24, 24));
+    assert_eq!((kills, finals), (32, 32));
 }
 
 #[test]
