MQTT: a keyed call that may have run is failed, not refused as harmless to try again

What callers saw: a station's level-log that a worker had, and that was not answered in its ttl, was acknowledged with 0x97, 'refused, never ran'. Its repeat counted as a new request ('A refused request never ran', settle). A repeat (DUP) of any class beyond a station's rate, or during a stop, was refused the same way, alert-send too, though it may have run at the process before. Cause: FinalAnswer::Refused carried no word on whether the request may have run. Change: the engine tells RefusedMayHaveRun apart; both MQTT fronts answer it as failed with the reason, the platform's front as before. A repeat beyond a station's limits goes to Engine::refuse, which fails it if its class may not simply run again. Intake::Submit is a typed message of its own. Why it works: only the engine knows the attempts and the class, and a refusal now leaves it only where trying again is harmless.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -73,6 +73,9 @@
     Served(Vec<u8>),
     /// The request was refused. A retry is harmless after the given time.
     Refused(Micros),
+    /// The request was refused, but it may have run: a retry after the given time is harmless only within its key's
+    /// repeat window.
+    RefusedMayHaveRun(Micros),
     /// The request failed for the given reason; it may have run.
     Failed(&'static str),
 }
@@ -325,30 +328,30 @@
 
     /// Accepts a request. Exactly one final answer follows for the ticket, unless `forget` is called for it.
     pub fn submit(&mut self, now: Micros, ticket: Ticket, job: RequestSpec) {
-        count(&self.counters.requests_taken);
-        let id = self.next_id;
-        self.next_id += 1;
-        self.tickets.insert(ticket, id);
-        let deadline = now.saturating_add(job.time_left);
         // Bodies that wait for slow workers could exceed the memory limit, and the process would be killed.
         // Requests that do not fit are refused before they run.
         let full = self.held_bytes + job.body.len() > self.bounds.held_bytes
             || self.requests.len() >= self.bounds.held_requests;
-        self.held_bytes += job.body.len();
         let (mut rejection, max_attempts) = self.check_repeat(&job);
-        if job.prior_delivery != PriorDelivery::None {
-            count(if rejection.is_some() {
-                &self.counters.repeats_not_run
-            } else {
-                &self.counters.repeats_run
-            });
-        }
         // Executors identify a request by its client's id. A second request under an open id could be
         // cancelled or answered in place of the first.
         if rejection.is_none() && self.open_calls.contains(&job.client_request_id) {
             rejection = Some("its id is that of a request which is open");
         }
-        let call = job.client_request_id.clone();
+        let id = self.track(now, ticket, job, max_attempts);
+        if let Some(reason) = rejection {
+            return self.answer_unrun(id, FinalAnswer::Failed(reason));
+        }
+        if full {
+            return self.answer_unrun(id, FinalAnswer::Refused(self.bounds.retry_after));
+        }
+        let Some(request) = self.requests.get(&id) else { return };
+        let (job, deadline) = (request.job.clone(), request.deadline);
+        if job.prior_delivery != PriorDelivery::None {
+            count(&self.counters.repeats_run);
+        }
+        self.open_calls.insert(job.client_request_id.clone());
+        self.timers.add(deadline, TimerKind::RequestDeadline(id));
         let event = Event::Request {
             id,
             class: job.class,
@@ -360,26 +363,39 @@
             is_retry: job.is_retry,
             time_left: job.time_left,
         };
-        let request = TrackedRequest {
-            ticket,
-            job: Rc::new(job),
-            deadline,
-            answered: false,
-            max_attempts,
-            attempts: vec![],
-        };
+        self.handle_event(now, event);
+    }
+
+    /// Answers a request that its front's limits don't allow to run: as refused, or as failed if it may have run before and
+    /// must not simply be sent again.
+    pub fn refuse(&mut self, now: Micros, ticket: Ticket, job: RequestSpec, retry_after: Micros) {
+        let (rejection, max_attempts) = self.check_repeat(&job);
+        let id = self.track(now, ticket, job, max_attempts);
+        self.answer_unrun(id, rejection.map_or(FinalAnswer::Refused(retry_after), FinalAnswer::Failed));
+    }
+
+    /// Adds a request that still needs its final answer, and returns its id.
+    fn track(&mut self, now: Micros, ticket: Ticket, job: RequestSpec, max_attempts: usize) -> RequestId {
+        count(&self.counters.requests_taken);
+        let id = self.next_id;
+        self.next_id += 1;
+        self.tickets.insert(ticket, id);
+        self.held_bytes += job.body.len();
+        let deadline = now.saturating_add(job.time_left);
+        let (job, attempts) = (Rc::new(job), Vec::new());
+        let request = TrackedRequest { ticket, job, deadline, answered: false, max_attempts, attempts };
         self.requests.insert(id, request);
-        if let Some(reason) = rejection {
-            self.answer(id, FinalAnswer::Failed(reason));
-            return self.remove(id);
-        }
-        if full {
-            self.answer(id, FinalAnswer::Refused(self.bounds.retry_after));
-            return self.remove(id);
+        id
+    }
+
+    /// Gives the final answer to a request without an attempt, and removes it.
+    fn answer_unrun(&mut self, id: RequestId, answer: FinalAnswer) {
+        let repeated = |r: &TrackedRequest| r.job.prior_delivery != PriorDelivery::None;
+        if self.requests.get(&id).is_some_and(repeated) {
+            count(&self.counters.repeats_not_run);
         }
-        self.open_calls.insert(call);
-        self.timers.add(deadline, TimerKind::RequestDeadline(id));
-        self.handle_event(now, event);
+        self.answer(id, answer);
+        self.remove(id);
     }
 
     /// Returns the reason why a request that may have run before must not run again, if there is one, and the
@@ -660,9 +676,17 @@
     fn answer(&mut self, id: RequestId, answer: FinalAnswer) {
         let Some(request) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
         request.answered = true;
+        let class = self.classes.get(request.job.class);
+        let may_have_run = class.is_some_and(|class| {
+            repeats::retry_may_run_twice(class, request.job.prior_delivery, &request.attempts)
+        });
+        let answer = match answer {
+            FinalAnswer::Refused(retry_after) if may_have_run => FinalAnswer::RefusedMayHaveRun(retry_after),
+            answer => answer,
+        };
         count(match answer {
             FinalAnswer::Served(_) => &self.counters.answers_served,
-            FinalAnswer::Refused(_) => &self.counters.answers_refused,
+            FinalAnswer::Refused(_) | FinalAnswer::RefusedMayHaveRun(_) => &self.counters.answers_refused,
             FinalAnswer::Failed(_) => &self.counters.answers_failed,
         });
         self.tickets.remove(&request.ticket);
--- a/src/core/repeats.rs
+++ b/src/core/repeats.rs
@@ -79,3 +79,10 @@
     };
     Some(window_start.saturating_add((REPEAT_SEND_FRACTION * class.repeat_window as f64) as Micros))
 }
+
+/// Returns whether a client's retry of a refused request could run a second time: a keyed one that may have run is recognised
+/// only within its repeat window. The decision module refuses no at-most-once request that may have run.
+pub(super) fn retry_may_run_twice(class: &Class, prior: PriorDelivery, attempts: &[Attempt]) -> bool {
+    class.effect == Effect::Deduplicated
+        && (prior != PriorDelivery::None || attempts.iter().any(|a| a.may_have_run))
+}
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -69,7 +69,13 @@
     prior_delivery: PriorDelivery,
     body: usize,
 ) -> Vec<Command> {
-    let job = RequestSpec {
+    let job = job(seq, class, prior_delivery, body);
+    engine.submit(10, Ticket { front: 0, conn: 0, seq }, job);
+    engine.commands.drain(..).collect()
+}
+
+fn job(seq: i64, class: usize, prior_delivery: PriorDelivery, body: usize) -> RequestSpec {
+    RequestSpec {
         class,
         tenant: 0,
         function: "f".into(),
@@ -82,9 +88,7 @@
         idempotency_key: Some("k".into()),
         body: vec![0; body],
         prior_delivery,
-    };
-    engine.submit(10, Ticket { front: 0, conn: 0, seq }, job);
-    engine.commands.drain(..).collect()
+    }
 }
 
 fn sends_attempt(commands: &[Command]) -> bool {
@@ -125,6 +129,47 @@
     }
 }
 
+/// Guards against: a refusal that calls a retry harmless, for a keyed request that may have run.
+#[test]
+fn refusal_of_a_keyed_request_tells_if_it_may_have_run() {
+    for (class, first, may_have_run) in
+        [(0, Outcome::Timeout, false), (1, Outcome::Timeout, true), (1, Outcome::Full, false)]
+    {
+        let mut engine = engine();
+        submit(&mut engine, 1, class, None, 0);
+        engine.client_closed(Ticket { front: 0, conn: 0, seq: 1 });
+        engine.commands.clear();
+        let commands = end_attempt(&mut engine, 20, 0, first);
+        let told = match answers(&commands)[..] {
+            [FinalAnswer::Refused(_)] => false,
+            [FinalAnswer::RefusedMayHaveRun(_)] => true,
+            ref other => panic!("{other:?}"),
+        };
+        assert_eq!(told, may_have_run, "{class} {first:?}");
+    }
+}
+
+/// Guards against: a refusal, which says that a request never ran, for a repeat beyond its front's limits.
+#[test]
+fn refused_repeat_is_failed_if_it_may_not_simply_be_sent_again() {
+    for (class, prior_delivery, failed) in [
+        (2, PriorDelivery::AtUnknownTime, true),
+        (1, PriorDelivery::AtUnknownTime, true),
+        (0, PriorDelivery::AtUnknownTime, false),
+        (2, PriorDelivery::None, false),
+    ] {
+        let mut engine = engine();
+        engine.refuse(10, Ticket { front: 0, conn: 0, seq: 1 }, job(1, class, prior_delivery, 5), SECOND);
+        let commands: Vec<Command> = engine.commands.drain(..).collect();
+        match answers(&commands)[..] {
+            [FinalAnswer::Failed(_)] => assert!(failed, "{class} {prior_delivery:?}"),
+            [FinalAnswer::Refused(SECOND)] => assert!(!failed, "{class} {prior_delivery:?}"),
+            ref other => panic!("{other:?}"),
+        }
+        assert_eq!((engine.open_requests(), engine.held_bytes()), (0, 0));
+    }
+}
+
 #[test]
 fn second_request_with_an_open_id_fails() {
     let mut engine = engine();
--- a/src/front/delivery.rs
+++ b/src/front/delivery.rs
@@ -1,6 +1,9 @@
 //! When a client sent a request, as far as its front knows. An age that is not known is never taken as 0: a repeat of
 //! unknown age may be older than the time for which executors recognise it.
 
+/// The reason of a failure in place of a refusal that a client could take for leave to send a keyed call again at any time.
+pub const WHY_MAY_HAVE_RUN: &str = "may have run, and was not answered in time";
+
 /// What a front knows of the sending of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Delivery {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -9,26 +9,32 @@
 
 use crate::core::Ticket;
 
-pub use delivery::Delivery;
+pub use delivery::{Delivery, WHY_MAY_HAVE_RUN};
 pub use info::{Fields, Invalid, ParsedRequest};
 
 /// An event from a client, in the form that all fronts share.
 #[derive(Debug)]
 pub enum Intake {
     /// A request whose fields are valid.
-    Submit {
-        /// Identifies the request; its answer is returned under it.
-        ticket: Ticket,
-        /// Its parameters.
-        sketch: ParsedRequest,
-        /// Its body.
-        body: Vec<u8>,
-        /// When its client sent it, as far as known.
-        delivery: Delivery,
-    },
+    Submit(Box<Submission>),
     /// The client no longer waits for this request.
     Abandon(Ticket),
     /// The client has closed its sending side: no further attempt starts for this request, but one that is running may
     /// still be answered.
     ClientClosed(Ticket),
 }
+
+/// A request from a client.
+#[derive(Debug)]
+pub struct Submission {
+    /// Identifies the request; its answer is returned under it.
+    pub ticket: Ticket,
+    /// Its parameters.
+    pub sketch: ParsedRequest,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// When its client sent it, as far as known.
+    pub delivery: Delivery,
+    /// Set if the front's limits don't allow it to run: the delay after which a client may retry, in microseconds.
+    pub refuse_after: Option<u64>,
+}
--- a/src/front/mqtt/front.rs
+++ b/src/front/mqtt/front.rs
@@ -7,7 +7,7 @@
 use super::records::{Message, Records, Stage};
 use crate::core::{FinalAnswer, Ticket};
 use crate::counters::{Counters, count};
-use crate::front::{Delivery, Fields, Intake, Invalid, ParsedRequest};
+use crate::front::{Delivery, Fields, Intake, Invalid, ParsedRequest, Submission, WHY_MAY_HAVE_RUN};
 use crate::net::{Closed, Connection, Malformed, Poll, PollEvent, ProtocolHandler, Ring};
 use ochreward_mqtt::packet::{Connack, EncodeError, Packet, Publish};
 use ochreward_mqtt::{Properties, Qos, ReasonCode, Version, Violation, decode};
@@ -449,7 +449,8 @@
         }
         if let Some((sketch, body)) = message.request.take() {
             let ticket = Ticket { front: self.id, conn: 0, seq: number };
-            self.intake.push(Intake::Submit { ticket, sketch, body, delivery });
+            let submission = Submission { ticket, sketch, body, delivery, refuse_after: None };
+            self.intake.push(Intake::Submit(Box::new(submission)));
         }
     }
 
@@ -462,6 +463,9 @@
                 let ms = after.div_ceil(1000).to_string();
                 (vec![pair("status", "refused"), pair("pushback", &ms)], Vec::new())
             }
+            FinalAnswer::RefusedMayHaveRun(_) => {
+                (vec![pair("status", "failed"), pair("why", WHY_MAY_HAVE_RUN)], Vec::new())
+            }
             FinalAnswer::Failed(why) => (vec![pair("status", "failed"), pair("why", why)], Vec::new()),
         };
         self.set_answer(ticket.seq, answer, true);
--- a/src/front/stations/front.rs
+++ b/src/front/stations/front.rs
@@ -6,7 +6,7 @@
 use super::verifier::Verifier;
 use crate::core::{FinalAnswer, Ticket};
 use crate::counters::Counters;
-use crate::front::{Intake, Invalid};
+use crate::front::{Intake, Invalid, Submission};
 use crate::keys::Faults;
 use crate::net::{Accepted, Closed, Connection, Listener, Malformed, Poll, PollEvent, ProtocolHandler, Ring};
 use ochreward_mqtt::packet::Packet;
@@ -296,9 +296,10 @@
                     self.sessions.password_unverified(conn);
                 }
             }
-            Action::Serve { number, sketch, body, delivery } => {
+            Action::Serve { number, sketch, body, delivery, refuse_after } => {
                 let ticket = Ticket { front: self.id, conn: 0, seq: number };
-                self.intake.push(Intake::Submit { ticket, sketch, body, delivery });
+                let submission = Submission { ticket, sketch, body, delivery, refuse_after };
+                self.intake.push(Intake::Submit(Box::new(submission)));
             }
             Action::Report(report) => report.log(),
         }
--- a/src/front/stations/sessions.rs
+++ b/src/front/stations/sessions.rs
@@ -83,6 +83,8 @@
         body: Vec<u8>,
         /// When the station sent it, as far as known.
         delivery: Delivery,
+        /// Set if the limits don't allow it to run: the delay after which the station may retry, in microseconds.
+        refuse_after: Option<u64>,
     },
     /// Log what became of a call that was delivered more than once.
     Report(CallReport),
--- a/src/front/stations/sessions/requests.rs
+++ b/src/front/stations/sessions/requests.rs
@@ -6,7 +6,7 @@
 use crate::core::FinalAnswer;
 use crate::front::stations::policy::User;
 use crate::front::stations::quota::Bucket;
-use crate::front::{Delivery, Fields, Invalid, ParsedRequest};
+use crate::front::{Delivery, Fields, Invalid, ParsedRequest, WHY_MAY_HAVE_RUN};
 use ochreward_mqtt::delivery::Received;
 use ochreward_mqtt::packet::Publish;
 use ochreward_mqtt::{Properties, ReasonCode, Violation};
@@ -122,15 +122,10 @@
             self.actions.push(Action::Report(report(CallEvent::AnsweredFromMemory { status })));
             return self.deliver(request, outcome);
         }
-        let refuse = |reason: ReasonCode, why: &str| Outcome {
-            reason,
-            user_properties: vec![pair("status", "failed"), pair("why", why)],
-            body: Vec::new(),
-        };
         let sketch = match ParsedRequest::read(&fields) {
             Ok(sketch) => sketch,
             Err(invalid) => {
-                let mut outcome = refuse(ReasonCode::PayloadFormatInvalid, invalid.why);
+                let mut outcome = failed(ReasonCode::PayloadFormatInvalid, invalid.why);
                 outcome.user_properties.push(pair("field", invalid.field));
                 return self.deliver(request, outcome);
             }
@@ -140,19 +135,23 @@
         };
         if !user.is_some_and(may) {
             return self
-                .deliver(request, refuse(ReasonCode::NotAuthorized, "may not be asked for by this client"));
+                .deliver(request, failed(ReasonCode::NotAuthorized, "may not be asked for by this client"));
         }
         let rate = user.map_or((0.0, 0.0), |u| u.user_rate);
         let shared =
             self.user_buckets.entry(session.user.clone()).or_insert_with(|| Bucket::new(now, rate.0, rate.1));
         let wait = session.bucket.wait_us(now).max(shared.wait_us(now));
-        if self.stopping || wait > 0 {
-            self.counts.limited += u64::from(wait > 0);
-            let after = if self.stopping { self.rules.pushback } else { wait };
+        self.counts.limited += u64::from(wait > 0);
+        let stop_delay = self.stopping.then_some(self.rules.pushback);
+        let refuse_after = stop_delay.or((wait > 0).then_some(wait));
+        if refuse_after.is_none() {
+            session.bucket.take();
+            shared.take();
+        }
+        // A repeat may have run: whether it may be refused is for the core to say.
+        if let (Some(after), Delivery::First { .. }) = (refuse_after, delivery) {
             return self.deliver(request, refused(after));
         }
-        session.bucket.take();
-        shared.take();
         if let Delivery::Repeat { age_us } = delivery {
             let submitted = report(CallEvent::SubmittedAsRepeat { age_us });
             self.counts.repeats += 1;
@@ -161,7 +160,7 @@
         }
         session.open_calls.insert(call, number);
         self.requests.insert(number, request);
-        self.actions.push(Action::Serve { number, sketch, body: publish.payload, delivery });
+        self.actions.push(Action::Serve { number, sketch, body: publish.payload, delivery, refuse_after });
     }
 
     /// Delivers the core's final answer to a request.
@@ -171,11 +170,8 @@
                 Outcome { reason: ReasonCode::Success, user_properties: vec![pair("status", "served")], body }
             }
             FinalAnswer::Refused(after) => refused(after),
-            FinalAnswer::Failed(why) => Outcome {
-                reason: ReasonCode::Implementation,
-                user_properties: vec![pair("status", "failed"), pair("why", why)],
-                body: Vec::new(),
-            },
+            FinalAnswer::RefusedMayHaveRun(_) => failed(ReasonCode::Implementation, WHY_MAY_HAVE_RUN),
+            FinalAnswer::Failed(why) => failed(ReasonCode::Implementation, why),
         };
         self.settle(number, outcome);
     }
@@ -258,6 +254,11 @@
     }
 }
 
+fn failed(reason: ReasonCode, why: &str) -> Outcome {
+    let user_properties = vec![pair("status", "failed"), pair("why", why)];
+    Outcome { reason, user_properties, body: Vec::new() }
+}
+
 /// Returns a refusal with the delay after which to retry, given in microseconds.
 fn refused(after: u64) -> Outcome {
     let ms = after.div_ceil(1000).to_string();
--- a/src/front/stations/sessions/tests.rs
+++ b/src/front/stations/sessions/tests.rs
@@ -14,6 +14,7 @@
     closed: BTreeSet<ConnId>,
     serves: Vec<(i64, ParsedRequest, Delivery)>,
     reports: Vec<CallReport>,
+    limits: Vec<Option<u64>>,
 }
 
 fn test_sessions(user_keys: &str) -> TestSessions {
@@ -37,6 +38,7 @@
         closed: BTreeSet::new(),
         serves: Vec::new(),
         reports: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
@@ -83,7 +85,8 @@
                     Action::Verify(conn, password, _) => {
                         self.sessions.password_verified(self.now, self.now / 1_000, conn, password == b"p")
                     }
-                    Action::Serve { number, sketch, delivery, .. } => {
+                    Action::Serve { number, sketch, delivery, refuse_after, .. } => {
+                        self.limits.push(refuse_after);
                         self.serves.push((number, sketch, delivery))
                     }
                     Action::Report(report) => self.reports.push(report),
@@ -290,6 +293,23 @@
     assert_eq!((fixture.serves.len(), fixture.sessions.counts.limited), (3, 1));
 }
 
+/// Guards against: a refusal, which says that a call never ran, for a repeat that may have run at another process.
+#[test]
+fn repeat_beyond_a_rate_limit_or_during_a_stop_is_not_refused_by_the_front() {
+    let mut fixture = test_sessions("client_rate = 1\nclient_burst = 1");
+    fixture.connect(1, connect("a", 50));
+    fixture.publish(1, trigger(1, 1, "flow-read"));
+    fixture.answer(1, 1, FinalAnswer::Served(Vec::new()));
+    assert_eq!(fixture.publish(1, Publish { dup: true, ..trigger(2, 2, "alert-send") }), []);
+    fixture.sessions.stop();
+    assert_eq!(fixture.publish(1, Publish { dup: true, ..trigger(3, 3, "alert-send") }), []);
+    // A first delivery never ran: it is refused at once.
+    let refused = fixture.publish(1, trigger(4, 4, "alert-send"));
+    assert_eq!(refused, [], "acknowledgements keep the order of their messages");
+    let limits: Vec<Option<u64>> = fixture.limits.iter().map(|l| l.map(|after| after / 1_000)).collect();
+    assert_eq!(limits, [None, Some(1_000), Some(500)]);
+}
+
 #[test]
 fn sessions_expire_and_silent_connections_time_out() {
     let mut fixture = test_sessions("");
--- a/src/front/thrift/front.rs
+++ b/src/front/thrift/front.rs
@@ -5,7 +5,7 @@
 use super::wire::{self, Call};
 use crate::core::{FinalAnswer, Ticket};
 use crate::counters::{Counters, count};
-use crate::front::{Delivery, Intake, Invalid, ParsedRequest};
+use crate::front::{Delivery, Intake, Invalid, ParsedRequest, Submission};
 use crate::net::{Accepted, Closed, Connection, Listener, Malformed, Poll, PollEvent, ProtocolHandler, Ring};
 use slab::Slab;
 use std::collections::BTreeSet;
@@ -480,7 +480,8 @@
                         link.handler.open_requests.insert(seq);
                         let ticket = self.ticket(slot, seq);
                         let delivery = Delivery::First { age_us: 0 };
-                        self.intake.push(Intake::Submit { ticket, sketch, body, delivery });
+                        let submission = Submission { ticket, sketch, body, delivery, refuse_after: None };
+                        self.intake.push(Intake::Submit(Box::new(submission)));
                     }
                     Err(invalid) => {
                         let text = invalid.to_string();
@@ -524,7 +525,7 @@
     /// Cancels a request. One that is still in the intake is removed from it: otherwise hundreds of requests that are
     /// cancelled right after they were sent would all go to executors first.
     fn cancel(&mut self, ticket: Ticket) {
-        let same = |i: &Intake| matches!(i, Intake::Submit { ticket: t, .. } if *t == ticket);
+        let same = |i: &Intake| matches!(i, Intake::Submit(submission) if submission.ticket == ticket);
         match self.intake.iter().rposition(same) {
             Some(place) => {
                 self.intake.remove(place);
@@ -560,7 +561,10 @@
     pub fn answer(&mut self, poll: &Poll, now: u64, ticket: Ticket, answer: &FinalAnswer) {
         self.reply(poll, now, ticket, |seq| match answer {
             FinalAnswer::Served(body) => wire::answer("serve", seq, body, true),
-            FinalAnswer::Refused(after) => wire::refused(seq, Some(after.div_ceil(1000))),
+            // Clients of the platform retry a keyed request only inside its window.
+            FinalAnswer::Refused(after) | FinalAnswer::RefusedMayHaveRun(after) => {
+                wire::refused(seq, Some(after.div_ceil(1000)))
+            }
             FinalAnswer::Failed(why) => wire::failed(seq, why),
         });
     }
--- a/src/front/thrift/front/tests.rs
+++ b/src/front/thrift/front/tests.rs
@@ -56,7 +56,7 @@
     client.serve(seq, &fields("flow-read", &format!("{seq:016x}"), 20_000), b"");
     fixture.run_until(0, |b| !b.front.intake.is_empty());
     match fixture.front.intake.pop() {
-        Some(Intake::Submit { ticket, .. }) => ticket,
+        Some(Intake::Submit(submission)) => submission.ticket,
         _ => panic!("a request"),
     }
 }
@@ -111,5 +111,5 @@
     }
     assert_eq!((fixture.counters.clients_evicted.get(), fixture.front.connections()), (1, 2));
     fixture.run_until(SECOND, |b| !b.front.intake.is_empty());
-    assert!(matches!(fixture.front.intake[..], [Intake::Submit { .. }]));
+    assert!(matches!(fixture.front.intake[..], [Intake::Submit(_)]));
 }
--- a/src/node/dispatch.rs
+++ b/src/node/dispatch.rs
@@ -6,7 +6,7 @@
 use super::{Node, STATIONS};
 use crate::core::{Command, Ticket};
 use crate::executor::Completion;
-use crate::front::{Intake, Invalid};
+use crate::front::{Intake, Invalid, Submission};
 
 impl Node {
     /// Passes intake and reports to the core and carries out its commands, until all queues are empty.
@@ -32,7 +32,7 @@
                     self.engine.client_closed(*ticket);
                     false
                 }
-                Intake::Submit { .. } => true,
+                Intake::Submit(_) => true,
             });
             for report in reports {
                 match report {
@@ -43,10 +43,14 @@
                 }
             }
             for item in intake {
-                let Intake::Submit { ticket, sketch, body, delivery } = item else { continue };
+                let Intake::Submit(submission) = item else { continue };
+                let Submission { ticket, sketch, body, delivery, refuse_after } = *submission;
                 let class_removed = self.settings.removed_classes.contains(&sketch.class);
                 match build_job(&self.settings, sketch, body, delivery, self.stalled_us) {
-                    Ok(job) => self.engine.submit(self.now, ticket, job),
+                    Ok(job) => match refuse_after {
+                        Some(retry_after) => self.engine.refuse(self.now, ticket, job, retry_after),
+                        None => self.engine.submit(self.now, ticket, job),
+                    },
                     Err(invalid) => self.refuse_invalid(ticket, &invalid, class_removed),
                 }
             }
--- a/tests/sockets/stations.rs
+++ b/tests/sockets/stations.rs
@@ -350,6 +350,30 @@
     );
 }
 
+/// Guards against: a refusal, which says that a call never ran, for a keyed call that a worker has and may run.
+#[test]
+fn keyed_call_that_may_have_run_is_answered_as_failed_and_not_as_refused() {
+    let fixture = Fixture::new("");
+    let (mut station, _) = Station::connect(fixture.stations, "st-1", "secret");
+    // The function is loaded, so that a call with little time is not refused for want of it.
+    station.send(&publish(trigger("st-1", 1, Qos::AtLeastOnce, "flow-read", 1)));
+    fixture.executor.next().ok(b"loaded");
+    assert_eq!(station.receive().as_ref().and_then(status).as_deref(), Some("served"));
+    let mut call = trigger("st-1", 2, Qos::AtLeastOnce, "level-log", 2);
+    let ttl = call.properties.user.iter_mut().find(|(name, _)| name == "ttl").expect("a ttl");
+    ttl.1 = "1000".to_string();
+    station.send(&publish(call.clone()));
+    let unanswered = fixture.executor.next();
+    let puback = station.receive().expect("a PUBACK");
+    assert_eq!(status(&puback).as_deref(), Some("failed"), "{puback:?}");
+    assert!(property(&puback, "why").is_some_and(|why| why.contains("may have run")), "{puback:?}");
+    // Its repeat gets the same answer.
+    station.send(&publish(Publish { packet_id: 3, dup: true, ..call }));
+    assert_eq!(station.receive().as_ref().and_then(status).as_deref(), Some("failed"));
+    assert_eq!(fixture.executor.left(), 0);
+    drop(unanswered);
+}
+
 /// The step that a message has reached when the dispatcher is killed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Step {
