Broker's front: a repeat whose 'sent' lies in the future has no known age

What callers saw: a level-log that a broker redelivered (DUP) after a restart ran a second time however old it was, where its 'sent' was ahead of the dispatcher's clock. Cause: src/front/mqtt/front.rs of, submit: 'unix_ms.saturating_sub(message.sent_ms)' makes a sending time in the future an age of 0. It only shows that the clocks differ. First deliveries keep 'ttl' from 'sent' as before.

--- a/src/front/mqtt/front.rs
+++ b/src/front/mqtt/front.rs
@@ -439,14 +439,16 @@
     fn submit(&mut self, unix_ms: u64, number: i64, again: bool) {
         let Some(message) = self.records.messages.get_mut(&number) else { return };
         message.stage = Stage::Running;
-        let age_ms = unix_ms.saturating_sub(message.sent_ms);
-        let age_us = age_ms.saturating_mul(1_000);
-        let delivery =
-            if again { Delivery::Repeat { age_us: Some(age_us) } } else { Delivery::First { age_us } };
-        if again {
+        let delivery = if again {
+            let delivery = Delivery::repeat(Some(message.sent_ms), unix_ms);
             let (client, call) = (self.options.client_id.as_str(), &*message.call);
-            tracing::info!(client, call, packet_ids = ?message.packet_ids, age_ms, "a message that may have run is submitted");
-        }
+            let packet_ids = &message.packet_ids;
+            tracing::info!(client, call, ?packet_ids, ?delivery, "a message that may have run is submitted");
+            delivery
+        } else {
+            let age_ms = unix_ms.saturating_sub(message.sent_ms);
+            Delivery::First { age_us: age_ms.saturating_mul(1_000) }
+        };
         if let Some((sketch, body)) = message.request.take() {
             let ticket = Ticket { front: self.id, conn: 0, seq: number };
             let submission = Submission { ticket, sketch, body, delivery, refuse_after: None };
--- a/tests/sockets/mqtt.rs
+++ b/tests/sockets/mqtt.rs
@@ -162,6 +162,21 @@
     assert_eq!((fixture.broker.unacknowledged(), fixture.executor.left()), (0, 0));
 }
 
+/// Guards against: a sending time in the future that counts as 'just now', so that an old keyed repeat runs again.
+#[test]
+fn a_keyed_repeat_with_a_sending_time_in_the_future_is_not_run_again() {
+    let mut fixture = Fixture::new();
+    let mut message = trigger("level-log", 1, 0);
+    message.user.insert("sent".to_string(), (now_ms() + 60_000).to_string());
+    fixture.broker.publish(&message);
+    drop(fixture.executor.next());
+    fixture.restart();
+    let answers = fixture.broker.answers(1);
+    assert_eq!(status(&answers[0]).0, "failed");
+    assert!(answers[0].user["why"].contains("at an unknown time"), "{:?}", answers[0].user);
+    assert_eq!((fixture.broker.unacknowledged(), fixture.executor.left()), (0, 0));
+}
+
 #[test]
 fn a_kill_after_publishing_leads_to_no_second_answer() {
     let mut fixture = Fixture::new();
