Stations: tests of the paths beside the killed dispatcher; their file is repeats.rs

Change: tests for a process that stood still, another dispatcher that still runs the call, QoS 2 after a restart, and an answer that was pushed out of memory; those of repeats move to a file of their own.

--- a/src/front/stations/sessions/tests.rs
+++ b/src/front/stations/sessions/tests.rs
@@ -214,6 +214,22 @@
     assert_eq!(fixture.serves[0].2, Delivery::Repeat { age_us: None });
 }
 
+/// Guards against: a repeat that counts as new since what was known of its call has been pushed out or has ended.
+#[test]
+fn repeat_of_a_call_that_is_no_longer_remembered_may_have_run() {
+    let mut fixture = test_sessions("");
+    fixture.connect(1, connect("a", 5));
+    for call in 1..=MAX_ANSWERED_CALLS as u64 + 1 {
+        fixture.publish(1, trigger(1, call, "alert-send"));
+        let number = fixture.serves.last().expect("a request").0;
+        fixture.answer(1, number, FinalAnswer::Served(Vec::new()));
+    }
+    let remembered = fixture.publish(1, Publish { dup: true, ..trigger(1, 2, "alert-send") });
+    assert_eq!(user_property(&remembered[0], "status").as_deref(), Some("served"));
+    fixture.publish(1, Publish { dup: true, ..trigger(1, 1, "alert-send") });
+    assert_eq!(fixture.serves.last().map(|s| s.2), Some(Delivery::Repeat { age_us: None }));
+}
+
 /// Guards against: an age of 0 for a repeat of which only the station knows when it was sent.
 #[test]
 fn age_of_an_unknown_repeat_is_the_time_since_its_sent_field_or_unknown() {
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod mqtt;
 mod operators;
+mod repeats;
 mod restarts;
 mod stations;
 mod thrift;
--- a/tests/sockets/stations.rs
+++ b/tests/sockets/stations.rs
@@ -13,14 +13,14 @@
 
 const MAX_PACKET_BYTES: usize = 1 << 20;
 
-struct Fixture {
-    executor: Executor,
-    _names: Names,
-    program: Program,
-    stations: SocketAddr,
-    users: PathBuf,
-    operator: String,
-    config_json: serde_json::Value,
+pub struct Fixture {
+    pub executor: Executor,
+    pub names: Names,
+    pub program: Program,
+    pub stations: SocketAddr,
+    pub users: PathBuf,
+    pub operator: String,
+    pub config_json: serde_json::Value,
 }
 
 fn users(more: &str) -> String {
@@ -30,12 +30,12 @@
     )
 }
 
-fn start(operator: &str, config_json: &serde_json::Value) -> (Program, SocketAddr) {
+pub fn start(operator: &str, config_json: &serde_json::Value) -> (Program, SocketAddr) {
     Program::run_with_stations(&["run", "--operator", operator], config_json)
 }
 
 impl Fixture {
-    fn new(more: &str) -> Fixture {
+    pub fn new(more: &str) -> Fixture {
         let (executor, names) = (Executor::start(), Names::start());
         names.set(2, &[("s0", executor.address, 0)]);
         let users = file(&users(more));
@@ -47,17 +47,17 @@
         let operator = file(&text).display().to_string();
         let config_json = config(&[&executor], &names);
         let (program, stations) = start(&operator, &config_json);
-        Fixture { executor, _names: names, program, stations, users, operator, config_json }
+        Fixture { executor, names: names, program, stations, users, operator, config_json }
     }
 }
 
-struct Station {
-    stream: TcpStream,
-    buffer: Vec<u8>,
+pub struct Station {
+    pub stream: TcpStream,
+    pub buffer: Vec<u8>,
 }
 
 impl Station {
-    fn open(to: SocketAddr) -> Station {
+    pub fn open(to: SocketAddr) -> Station {
         let stream = TcpStream::connect(to).expect("a connection");
         stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         stream.set_nodelay(true).expect("set");
@@ -65,7 +65,7 @@
     }
 
     /// Connects as this client. The result is whether its session was present, or the reason of a refusal.
-    fn connect(to: SocketAddr, client: &str, password: &str) -> (Station, Result<bool, ReasonCode>) {
+    pub fn connect(to: SocketAddr, client: &str, password: &str) -> (Station, Result<bool, ReasonCode>) {
         let mut station = Station::open(to);
         let properties = Properties { session_expiry: Some(600), ..Properties::default() };
         station.send(&Packet::Connect(Box::new(Connect {
@@ -84,13 +84,13 @@
         (station, result)
     }
 
-    fn send(&mut self, packet: &Packet) {
+    pub fn send(&mut self, packet: &Packet) {
         let bytes = packet.encode(Version::V5, MAX_PACKET_BYTES).expect("written");
         self.stream.write_all(&bytes).expect("sent");
     }
 
     /// Returns the next packet, or `None` once the connection has ended.
-    fn receive(&mut self) -> Option<Packet> {
+    pub fn receive(&mut self) -> Option<Packet> {
         loop {
             if let Some((packet, size)) =
                 decode(&self.buffer, Version::V5, MAX_PACKET_BYTES).expect("a good packet")
@@ -106,7 +106,7 @@
         }
     }
 
-    fn subscribe(&mut self, filter: &str, qos: Qos) {
+    pub fn subscribe(&mut self, filter: &str, qos: Qos) {
         let subscription = Subscription { filter: filter.into(), qos, ..Subscription::default() };
         self.send(&Packet::Subscribe(Subscribe {
             packet_id: 1,
@@ -117,7 +117,7 @@
         assert!(!suback.reasons[0].is_failure());
     }
 
-    fn ack(&mut self, kind: fn(Ack) -> Packet, id: u16) {
+    pub fn ack(&mut self, kind: fn(Ack) -> Packet, id: u16) {
         self.send(&kind(Ack {
             packet_id: id,
             reason: ReasonCode::Success,
@@ -126,7 +126,7 @@
     }
 }
 
-fn trigger(client: &str, id: u16, qos: Qos, class: &str, call: u64) -> Publish {
+pub fn trigger(client: &str, id: u16, qos: Qos, class: &str, call: u64) -> Publish {
     let pair = |n: &str, v: &str| (n.to_string(), v.to_string());
     let mut user = vec![
         pair("op", class),
@@ -149,20 +149,20 @@
 }
 
 /// Adds the time at which the station first sent the call.
-fn with_sent(mut publish: Publish, unix_ms: u64) -> Publish {
+pub fn with_sent(mut publish: Publish, unix_ms: u64) -> Publish {
     publish.properties.user.push(("sent".to_string(), unix_ms.to_string()));
     publish
 }
 
-fn unix_ms() -> u64 {
+pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
 }
 
-fn publish(publish: Publish) -> Packet {
+pub fn publish(publish: Publish) -> Packet {
     Packet::Publish(Box::new(publish))
 }
 
-fn property(packet: &Packet, name: &str) -> Option<String> {
+pub fn property(packet: &Packet, name: &str) -> Option<String> {
     let properties = match packet {
         Packet::Puback(ack) | Packet::Pubrec(ack) => &ack.properties,
         Packet::Publish(publish) => &publish.properties,
@@ -171,7 +171,7 @@
     properties.user(name).map(str::to_string)
 }
 
-fn status(packet: &Packet) -> Option<String> {
+pub fn status(packet: &Packet) -> Option<String> {
     property(packet, "status")
 }
 
@@ -315,65 +315,6 @@
     drop(program);
 }
 
-/// Guards against: a keyed repeat that is taken for a call sent just now, and runs again after its key's window.
-#[test]
-fn keyed_repeat_runs_again_only_if_the_time_of_its_first_sending_is_known_to_be_inside_the_window() {
-    let fixture = Fixture::new("");
-    let Fixture { executor, operator, config_json, program, .. } = fixture;
-    program.kill();
-    let (program, stations) = start(&operator, &config_json);
-    let (mut station, _) = Station::connect(stations, "st-1", "secret");
-    let repeat =
-        |id: u16| Publish { dup: true, ..trigger("st-1", id, Qos::AtLeastOnce, "level-log", id.into()) };
-    let now = unix_ms();
-    // No time; a time in the future, which only shows that the clocks differ; a time beyond the window of 15 s.
-    let not_run = [repeat(1), with_sent(repeat(2), now + 60_000), with_sent(repeat(3), now - 16_000)];
-    for message in not_run {
-        station.send(&publish(message));
-        let puback = station.receive().expect("a PUBACK");
-        assert_eq!(status(&puback).as_deref(), Some("failed"), "{puback:?}");
-        assert!(
-            property(&puback, "why").is_some_and(|why| why.contains("may have run before")),
-            "{puback:?}"
-        );
-        assert_eq!(executor.left(), 0);
-    }
-    station.send(&publish(with_sent(repeat(4), now - 5_000)));
-    let mut line = executor.next();
-    assert!(line.value.to_string().contains("5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
-    line.ok(b"again");
-    assert_eq!(station.receive().as_ref().and_then(status).as_deref(), Some("served"));
-    let counters = program.counters();
-    assert_eq!(
-        (counters["station_repeats"], counters["repeats_run"], counters["repeats_not_run"]),
-        (4, 1, 3)
-    );
-}
-
-/// Guards against: a refusal, which says that a call never ran, for a keyed call that a worker has and may run.
-#[test]
-fn keyed_call_that_may_have_run_is_answered_as_failed_and_not_as_refused() {
-    let fixture = Fixture::new("");
-    let (mut station, _) = Station::connect(fixture.stations, "st-1", "secret");
-    // The function is loaded, so that a call with little time is not refused for want of it.
-    station.send(&publish(trigger("st-1", 1, Qos::AtLeastOnce, "flow-read", 1)));
-    fixture.executor.next().ok(b"loaded");
-    assert_eq!(station.receive().as_ref().and_then(status).as_deref(), Some("served"));
-    let mut call = trigger("st-1", 2, Qos::AtLeastOnce, "level-log", 2);
-    let ttl = call.properties.user.iter_mut().find(|(name, _)| name == "ttl").expect("a ttl");
-    ttl.1 = "1000".to_string();
-    station.send(&publish(call.clone()));
-    let unanswered = fixture.executor.next();
-    let puback = station.receive().expect("a PUBACK");
-    assert_eq!(status(&puback).as_deref(), Some("failed"), "{puback:?}");
-    assert!(property(&puback, "why").is_some_and(|why| why.contains("may have run")), "{puback:?}");
-    // Its repeat gets the same answer.
-    station.send(&publish(Publish { packet_id: 3, dup: true, ..call }));
-    assert_eq!(station.receive().as_ref().and_then(status).as_deref(), Some("failed"));
-    assert_eq!(fixture.executor.left(), 0);
-    drop(unanswered);
-}
-
 /// The step that a message has reached when the dispatcher is killed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Step {
