Stations: a call with other content under a known id no longer gets that one's answer

What callers saw: two calls of a station under one id with other content: the second one was acknowledged with the first one's answer, without having run, and never got its own. Cause: src/front/stations/sessions.rs of, handle_trigger: open_calls and answered_calls were found by the call id alone, which the station may use anew. Evidence: call_with_other_content_under_a_known_id_is_a_call_of_its_own failed before: one request in place of two. Change: CallKey is the id and a digest of class, function, tenant, key and body; the record of calls is CallLog, in a module of its own. A second call under an open id goes to the engine, which fails it, since executors know calls by their ids; after the answer it runs.

--- a/src/front/stations/sessions.rs
+++ b/src/front/stations/sessions.rs
@@ -8,6 +8,7 @@
 //! process, which continues the request or repeats the remembered answer, or to another, which treats it as one that may
 //! already have run.
 
+mod calls;
 mod expiry;
 mod login;
 mod reports;
@@ -17,13 +18,13 @@
 use super::policy::Policy;
 use super::quota::Bucket;
 use crate::front::{Delivery, ParsedRequest};
+use calls::CallLog;
 use ochreward_mqtt::delivery::{Inbound, Outbound};
 use ochreward_mqtt::packet::{Connack, Connect, DisconnectOrAuth, Packet, Version, Will};
 use ochreward_mqtt::topic::TopicFilter;
 use ochreward_mqtt::{Properties, Qos, ReasonCode, Violation};
 use requests::{Outcome, Request};
-use std::collections::{BTreeMap, VecDeque};
-use std::sync::Arc;
+use std::collections::BTreeMap;
 
 pub use reports::CallReport;
 
@@ -34,10 +35,6 @@
 const TOPIC_ALIAS_MAXIMUM: u16 = 16;
 /// Subscriptions per session.
 const MAX_FILTERS: usize = 32;
-/// Answered calls that a session remembers.
-const MAX_ANSWERED_CALLS: usize = 64;
-/// The longest body that is remembered with an answered call.
-const MAX_REMEMBERED_BODY_BYTES: usize = 1_024;
 /// Packets of a connection that are queued while its password is checked.
 const MAX_EARLY_PACKETS: usize = 64;
 /// A connection is closed if it has not sent a CONNECT and had its password checked within this time.
@@ -137,9 +134,7 @@
     /// When the will is to be published; set when the connection is lost.
     will_at: Option<u64>,
     bucket: Bucket,
-    open_calls: BTreeMap<Arc<str>, i64>,
-    answered_calls: BTreeMap<Arc<str>, Outcome>,
-    answered_order: VecDeque<Arc<str>>,
+    calls: CallLog,
 }
 
 /// All sessions.
--- a/src/front/stations/sessions/expiry.rs
+++ b/src/front/stations/sessions/expiry.rs
@@ -69,7 +69,7 @@
         let expired: BTreeSet<String> = self
             .sessions
             .iter()
-            .filter(|(_, s)| expired(s) && s.open_calls.is_empty())
+            .filter(|(_, s)| expired(s) && !s.calls.has_open())
             .map(|(c, _)| c.clone())
             .collect();
         expired.iter().for_each(|client| self.drop_session(client));
--- a/src/front/stations/sessions/login.rs
+++ b/src/front/stations/sessions/login.rs
@@ -1,12 +1,12 @@
 //! Opens and resumes sessions: CONNECT, the result of the password check, and the limit on the number of sessions.
 
 use super::Action;
+use super::calls::CallLog;
 use super::{ConnId, ConnState, Session, Sessions, TOPIC_ALIAS_MAXIMUM};
 use crate::front::stations::quota::Bucket;
 use ochreward_mqtt::delivery::{Inbound, Outbound};
 use ochreward_mqtt::packet::{Connack, Connect, Packet, Version};
 use ochreward_mqtt::{Properties, ReasonCode};
-use std::collections::{BTreeMap, VecDeque};
 
 impl Sessions {
     pub(super) fn handle_connect(&mut self, conn: ConnId, since: u64, connect: Box<Connect>) {
@@ -90,9 +90,7 @@
             will: None,
             will_at: None,
             bucket: Bucket::new(now, rate.0, rate.1),
-            open_calls: BTreeMap::new(),
-            answered_calls: BTreeMap::new(),
-            answered_order: VecDeque::new(),
+            calls: CallLog::default(),
         });
         session.conn = Some(conn);
         (session.expiry, session.will, session.will_at) = (expiry, connect.will.clone(), None);
@@ -102,8 +100,8 @@
             (requested.receive_maximum.unwrap_or(u16::MAX), requested.topic_alias_maximum.unwrap_or(0));
         session.outbound.connected(present, window, aliases);
         // Messages of the previous connection are unacknowledged, so the station resends them.
-        for number in session.open_calls.values() {
-            if let Some(request) = self.requests.get_mut(number) {
+        for number in session.calls.open_requests() {
+            if let Some(request) = self.requests.get_mut(&number) {
                 request.packet_ids.clear();
             }
         }
@@ -132,7 +130,7 @@
 
     /// Evicts the session that has been disconnected longest, unless it has open requests.
     pub(super) fn evict_session(&mut self) -> bool {
-        let disconnected = self.sessions.iter().filter(|(_, s)| s.conn.is_none() && s.open_calls.is_empty());
+        let disconnected = self.sessions.iter().filter(|(_, s)| s.conn.is_none() && !s.calls.has_open());
         let Some(oldest) =
             disconnected.min_by_key(|(_, s)| s.disconnected_at).map(|(client, _)| client.clone())
         else {
--- a/src/front/stations/sessions/requests.rs
+++ b/src/front/stations/sessions/requests.rs
@@ -1,8 +1,9 @@
 //! Requests from publishing to the final answer: a message becomes a request, joins one that is running, or is answered from
 //! memory; a final answer is remembered and delivered.
 
+use super::calls::CallKey;
 use super::reports::{CallEvent, CallReport};
-use super::{ANSWER_EXPIRY_S, Action, MAX_ANSWERED_CALLS, MAX_REMEMBERED_BODY_BYTES, Sessions, pair};
+use super::{ANSWER_EXPIRY_S, Action, Sessions, pair};
 use crate::core::FinalAnswer;
 use crate::front::stations::policy::User;
 use crate::front::stations::quota::Bucket;
@@ -10,7 +11,6 @@
 use ochreward_mqtt::delivery::Received;
 use ochreward_mqtt::packet::Publish;
 use ochreward_mqtt::{Properties, ReasonCode, Violation};
-use std::sync::Arc;
 
 /// An answer, remembered for a message that is delivered again.
 #[derive(Clone, Debug)]
@@ -21,6 +21,12 @@
 }
 
 impl Outcome {
+    /// Drops the body, and says so.
+    pub(super) fn forget_body(&mut self) {
+        self.body.clear();
+        self.user_properties.push(pair("body", "not kept"));
+    }
+
     fn property(&self, name: &str) -> Option<&str> {
         self.user_properties.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
     }
@@ -39,7 +45,7 @@
 /// A request that the core has.
 pub(super) struct Request {
     pub(super) client: String,
-    pub(super) call: Arc<str>,
+    pub(super) call: CallKey,
     /// The packet ids under which it was delivered on the current connection.
     pub(super) packet_ids: Vec<u16>,
     pub(super) response_topic: Option<String>,
@@ -89,7 +95,7 @@
         self.counts.triggers += 1;
         let user = self.policy.user(&session.user);
         let fields: Fields = publish.properties.user.iter().cloned().collect();
-        let call: Arc<str> = fields.get("call").map_or("", String::as_str).into();
+        let call = CallKey::of(&fields, &publish.payload);
         let number = self.next_number;
         self.next_number += 1;
         let mut request = Request {
@@ -104,18 +110,20 @@
             client: client.to_string(),
             session: session.serial,
             packet_id: publish.packet_id,
-            call: call.clone(),
+            call: call.id.clone(),
             event,
         };
         // The request is running: its answer acknowledges this delivery too.
-        if let Some(known) = session.open_calls.get(&call).and_then(|number| self.requests.get_mut(number)) {
+        if let Some(known) =
+            session.calls.open_request(&call).and_then(|number| self.requests.get_mut(&number))
+        {
             self.counts.duplicates += 1;
             self.actions.push(Action::Report(report(CallEvent::Joined)));
             known.packet_ids.extend(request.packet_ids);
             return;
         }
         if let Some(outcome) =
-            session.answered_calls.get(&call).filter(|_| publish.dup || publish.packet_id == 0).cloned()
+            session.calls.answer(&call).filter(|_| publish.dup || publish.packet_id == 0).cloned()
         {
             self.counts.duplicates += 1;
             let status = outcome.status().to_string();
@@ -158,7 +166,7 @@
             self.actions.push(Action::Report(submitted.clone()));
             request.repeat = Some(submitted);
         }
-        session.open_calls.insert(call, number);
+        session.calls.begin(call, number);
         self.requests.insert(number, request);
         self.actions.push(Action::Serve { number, sketch, body: publish.payload, delivery, refuse_after });
     }
@@ -197,22 +205,10 @@
             self.counts.answers_lost += 1;
             return;
         };
-        session.open_calls.remove(&request.call);
-        // A refused request never ran: its repeat is a new request.
-        if outcome.status() != "refused" {
-            let mut remembered = outcome.clone();
-            if remembered.body.len() > MAX_REMEMBERED_BODY_BYTES {
-                remembered.body.clear();
-                remembered.user_properties.push(pair("body", "not kept"));
-            }
-            if session.answered_calls.insert(request.call.clone(), remembered).is_none() {
-                session.answered_order.push_back(request.call.clone());
-            }
-            while session.answered_order.len() > MAX_ANSWERED_CALLS {
-                if let Some(old) = session.answered_order.pop_front() {
-                    session.answered_calls.remove(&old);
-                }
-            }
+        if outcome.status() == "refused" {
+            session.calls.end(&request.call);
+        } else {
+            session.calls.end_answered(&request.call, outcome.clone());
         }
         self.deliver(request, outcome);
     }
@@ -225,7 +221,7 @@
             self.counts.answers_lost += 1;
             return;
         };
-        let mut user = vec![pair("call", &request.call)];
+        let mut user = vec![pair("call", &request.call.id)];
         user.extend(outcome.user_properties);
         let mut out = Vec::new();
         for id in &request.packet_ids {
--- a/src/front/stations/sessions/tests.rs
+++ b/src/front/stations/sessions/tests.rs
@@ -1,3 +1,4 @@
+use super::calls::MAX_ANSWERED_CALLS;
 use super::reports::CallEvent;
 use super::*;
 use crate::core::FinalAnswer;
@@ -230,6 +231,25 @@
     assert_eq!(fixture.serves.last().map(|s| s.2), Some(Delivery::Repeat { age_us: None }));
 }
 
+/// Guards against: the answer of one call for another one under the same id, or none for it.
+#[test]
+fn call_with_other_content_under_a_known_id_is_a_call_of_its_own() {
+    let mut fixture = test_sessions("");
+    fixture.connect(1, connect("a", 50));
+    let other = |id| Publish { payload: b"other".to_vec(), ..trigger(id, 7, "flow-read") };
+    fixture.publish(1, trigger(1, 7, "flow-read"));
+    // While the first one runs, the core has the last word on the second: executors know calls by their ids.
+    fixture.publish(1, other(2));
+    assert_eq!(fixture.serves.len(), 2);
+    let sent = fixture.answer(1, 1, FinalAnswer::Served(Vec::new()));
+    assert!(matches!(&sent[..], [Packet::Puback(a)] if a.packet_id == 1), "{sent:?}");
+    let sent = fixture.answer(1, 2, FinalAnswer::Failed("its id is in use"));
+    assert_eq!(user_property(&sent[0], "status").as_deref(), Some("failed"));
+    // After its answer, a further one runs.
+    fixture.publish(1, Publish { payload: b"third".to_vec(), ..trigger(3, 7, "flow-read") });
+    assert_eq!(fixture.serves.len(), 3);
+}
+
 /// Guards against: an age of 0 for a repeat of which only the station knows when it was sent.
 #[test]
 fn age_of_an_unknown_repeat_is_the_time_since_its_sent_field_or_unknown() {
--- a/tests/sockets/repeats.rs
+++ b/tests/sockets/repeats.rs
@@ -125,7 +125,7 @@
 /// Guards against: a QoS 2 exchange of the process before that frees or runs anything in the new one.
 #[test]
 fn quality_of_service_2_after_a_restart_releases_nothing_and_runs_no_keyed_call_of_unknown_age() {
-    let Fixture { executor, operator, config_json, program, names, .. } = Fixture::new("");
+    let Fixture { executor, operator, config_json, program, names: _names, .. } = Fixture::new("");
     program.kill();
     let (_program, stations) = start(&operator, &config_json);
     let (mut station, _) = Station::connect(stations, "st-1", "secret");
--- a/tests/sockets/stations.rs
+++ b/tests/sockets/stations.rs
@@ -47,7 +47,7 @@
         let operator = file(&text).display().to_string();
         let config_json = config(&[&executor], &names);
         let (program, stations) = start(&operator, &config_json);
-        Fixture { executor, names: names, program, stations, users, operator, config_json }
+        Fixture { executor, names, program, stations, users, operator, config_json }
     }
 }
 
