Stations: a call that this process has answered is not run again for want of DUP

What callers saw: an alert-send that had been served ran a second time when its station, after a restart of its own, published it again under the same call id without DUP at QoS 1 or 2. Evidence: call_that_was_answered_is_not_run_again_for_a_repeat_without_dup failed before: no acknowledgement, a second request. Change: a call is known by its id and content whatever DUP says. What never ran (refused, invalid, an id in use) is not remembered, so that a repeat of it is looked at anew: invalid_request_is_not_remembered.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -209,6 +209,8 @@
     pub end: Option<(Outcome, u64, Option<Micros>)>,
 }
 
+/// The reason of a request that failed unrun since another one under its id is open.
+pub const ID_IN_USE: &str = "its id is that of a request which is open";
 /// Fraction of a class's repeat window within which a repeat must be sent: the rest allows for its transit
 /// time.
 const REPEAT_SEND_FRACTION: f64 = 0.95;
@@ -336,7 +338,7 @@
         // Executors identify a request by its client's id. A second request under an open id could be
         // cancelled or answered in place of the first.
         if rejection.is_none() && self.open_calls.contains(&job.client_request_id) {
-            rejection = Some("its id is that of a request which is open");
+            rejection = Some(ID_IN_USE);
         }
         let id = self.track(now, ticket, job, max_attempts);
         if let Some(reason) = rejection {
--- a/src/front/stations/sessions/calls.rs
+++ b/src/front/stations/sessions/calls.rs
@@ -71,7 +71,7 @@
         self.open.insert(call, request);
     }
 
-    /// Ends a call that was refused: a repeat of it is a new call.
+    /// Ends a call that never ran, or was refused: a repeat of it is a new call.
     pub(super) fn end(&mut self, call: &CallKey) {
         self.open.remove(call);
     }
--- a/src/front/stations/sessions/requests.rs
+++ b/src/front/stations/sessions/requests.rs
@@ -4,7 +4,7 @@
 use super::calls::CallKey;
 use super::reports::{CallEvent, CallReport};
 use super::{ANSWER_EXPIRY_S, Action, Sessions, pair};
-use crate::core::FinalAnswer;
+use crate::core::{FinalAnswer, ID_IN_USE};
 use crate::front::stations::policy::User;
 use crate::front::stations::quota::Bucket;
 use crate::front::{Delivery, Fields, Invalid, ParsedRequest, WHY_MAY_HAVE_RUN};
@@ -18,6 +18,8 @@
     pub(super) reason: ReasonCode,
     pub(super) user_properties: Vec<(String, String)>,
     pub(super) body: Vec<u8>,
+    /// Whether the call may have run. One that never ran is not remembered: a repeat of it is a new call.
+    pub(super) may_have_run: bool,
 }
 
 impl Outcome {
@@ -122,9 +124,7 @@
             known.packet_ids.extend(request.packet_ids);
             return;
         }
-        if let Some(outcome) =
-            session.calls.answer(&call).filter(|_| publish.dup || publish.packet_id == 0).cloned()
-        {
+        if let Some(outcome) = session.calls.answer(&call).cloned() {
             self.counts.duplicates += 1;
             let status = outcome.status().to_string();
             self.actions.push(Action::Report(report(CallEvent::AnsweredFromMemory { status })));
@@ -133,9 +133,7 @@
         let sketch = match ParsedRequest::read(&fields) {
             Ok(sketch) => sketch,
             Err(invalid) => {
-                let mut outcome = failed(ReasonCode::PayloadFormatInvalid, invalid.why);
-                outcome.user_properties.push(pair("field", invalid.field));
-                return self.deliver(request, outcome);
+                return self.deliver(request, invalid_field(&invalid));
             }
         };
         let may = |u: &User| {
@@ -173,25 +171,20 @@
 
     /// Delivers the core's final answer to a request.
     pub fn answer(&mut self, number: i64, answer: FinalAnswer) {
+        let failed_run = |why| Outcome { may_have_run: true, ..failed(ReasonCode::Implementation, why) };
         let outcome = match answer {
-            FinalAnswer::Served(body) => {
-                Outcome { reason: ReasonCode::Success, user_properties: vec![pair("status", "served")], body }
-            }
+            FinalAnswer::Served(body) => served(body),
             FinalAnswer::Refused(after) => refused(after),
-            FinalAnswer::RefusedMayHaveRun(_) => failed(ReasonCode::Implementation, WHY_MAY_HAVE_RUN),
-            FinalAnswer::Failed(why) => failed(ReasonCode::Implementation, why),
+            FinalAnswer::RefusedMayHaveRun(_) => failed_run(WHY_MAY_HAVE_RUN),
+            FinalAnswer::Failed(ID_IN_USE) => failed(ReasonCode::Implementation, ID_IN_USE),
+            FinalAnswer::Failed(why) => failed_run(why),
         };
         self.settle(number, outcome);
     }
 
     /// Answers a request that has an invalid field.
     pub fn reject_invalid(&mut self, number: i64, invalid: &Invalid) {
-        let user_properties =
-            vec![pair("status", "failed"), pair("field", invalid.field), pair("why", invalid.why)];
-        self.settle(
-            number,
-            Outcome { reason: ReasonCode::PayloadFormatInvalid, user_properties, body: Vec::new() },
-        );
+        self.settle(number, invalid_field(invalid));
     }
 
     pub(super) fn settle(&mut self, number: i64, outcome: Outcome) {
@@ -205,10 +198,10 @@
             self.counts.answers_lost += 1;
             return;
         };
-        if outcome.status() == "refused" {
-            session.calls.end(&request.call);
-        } else {
+        if outcome.may_have_run {
             session.calls.end_answered(&request.call, outcome.clone());
+        } else {
+            session.calls.end(&request.call);
         }
         self.deliver(request, outcome);
     }
@@ -250,9 +243,21 @@
     }
 }
 
+fn served(body: Vec<u8>) -> Outcome {
+    let user_properties = vec![pair("status", "served")];
+    Outcome { reason: ReasonCode::Success, user_properties, body, may_have_run: true }
+}
+
+/// Returns the failure of a call that never ran.
 fn failed(reason: ReasonCode, why: &str) -> Outcome {
     let user_properties = vec![pair("status", "failed"), pair("why", why)];
-    Outcome { reason, user_properties, body: Vec::new() }
+    Outcome { reason, user_properties, body: Vec::new(), may_have_run: false }
+}
+
+fn invalid_field(invalid: &Invalid) -> Outcome {
+    let mut outcome = failed(ReasonCode::PayloadFormatInvalid, invalid.why);
+    outcome.user_properties.push(pair("field", invalid.field));
+    outcome
 }
 
 /// Returns a refusal with the delay after which to retry, given in microseconds.
@@ -262,5 +267,6 @@
         reason: ReasonCode::QuotaExceeded,
         user_properties: vec![pair("status", "refused"), pair("pushback", &ms)],
         body: Vec::new(),
+        may_have_run: false,
     }
 }
--- a/src/front/stations/sessions/tests.rs
+++ b/src/front/stations/sessions/tests.rs
@@ -1,7 +1,8 @@
 use super::calls::MAX_ANSWERED_CALLS;
 use super::reports::CallEvent;
 use super::*;
-use crate::core::FinalAnswer;
+use crate::core::{FinalAnswer, ID_IN_USE};
+use crate::front::Invalid;
 use ochreward_mqtt::packet::{Publish, Subscribe};
 use std::collections::BTreeSet;
 
@@ -243,11 +244,36 @@
     assert_eq!(fixture.serves.len(), 2);
     let sent = fixture.answer(1, 1, FinalAnswer::Served(Vec::new()));
     assert!(matches!(&sent[..], [Packet::Puback(a)] if a.packet_id == 1), "{sent:?}");
-    let sent = fixture.answer(1, 2, FinalAnswer::Failed("its id is in use"));
+    let sent = fixture.answer(1, 2, FinalAnswer::Failed(ID_IN_USE));
     assert_eq!(user_property(&sent[0], "status").as_deref(), Some("failed"));
-    // After its answer, a further one runs.
-    fixture.publish(1, Publish { payload: b"third".to_vec(), ..trigger(3, 7, "flow-read") });
-    assert_eq!(fixture.serves.len(), 3);
+    // After the first one's answer it may be sent again, as it never ran, and so may a further one.
+    fixture.publish(1, other(3));
+    fixture.publish(1, Publish { payload: b"third".to_vec(), ..trigger(4, 7, "flow-read") });
+    assert_eq!(fixture.serves.len(), 4);
+}
+
+/// Guards against: an alert that runs twice because its repeat, after its answer, came without DUP (a station that restarted).
+#[test]
+fn call_that_was_answered_is_not_run_again_for_a_repeat_without_dup() {
+    let mut fixture = test_sessions("");
+    fixture.connect(1, connect("a", 50));
+    fixture.publish(1, trigger(1, 7, "alert-send"));
+    fixture.answer(1, 1, FinalAnswer::Served(Vec::new()));
+    let again = fixture.publish(1, trigger(2, 7, "alert-send"));
+    assert_eq!(user_property(&again[0], "status").as_deref(), Some("served"));
+    assert_eq!(fixture.serves.len(), 1);
+}
+
+/// Guards against: a request that was found invalid, and so never ran, being failed again without a look.
+#[test]
+fn invalid_request_is_not_remembered() {
+    let mut fixture = test_sessions("");
+    fixture.connect(1, connect("a", 50));
+    fixture.publish(1, trigger(1, 7, "flow-read"));
+    fixture.sessions.reject_invalid(1, &Invalid { field: "org", why: "is no tenant" });
+    fixture.run_actions();
+    fixture.publish(1, trigger(2, 7, "flow-read"));
+    assert_eq!(fixture.serves.len(), 2);
 }
 
 /// Guards against: an age of 0 for a repeat of which only the station knows when it was sent.
