--- a/src/front/stations/sessions/reports.rs
+++ b/src/front/stations/sessions/reports.rs
@@ -32,6 +32,13 @@
         /// The time since the station first sent it, in microseconds; none if that is not known.
         age_us: Option<u64>,
     },
+    /// The session of the call has ended before its answer.
+    AnsweredAfterSession {
+        /// The serial number of the session that the client has now, if any.
+        present_session: Option<u64>,
+        /// The status of the answer.
+        status: String,
+    },
     /// The final answer to a call that was submitted as a repeat.
     RepeatAnswered {
         /// The status of the answer.
@@ -71,6 +78,17 @@
                     "a call that may have run is submitted"
                 )
             }
+            CallEvent::AnsweredAfterSession { present_session, status } => {
+                tracing::info!(
+                    client,
+                    session,
+                    packet_id,
+                    call,
+                    ?present_session,
+                    status,
+                    "a call is answered after its session has ended"
+                )
+            }
             CallEvent::RepeatAnswered { status, why } => {
                 let why = why.as_deref().unwrap_or_default();
                 tracing::info!(
--- a/src/front/stations/sessions/requests.rs
+++ b/src/front/stations/sessions/requests.rs
@@ -46,6 +46,8 @@
 
 /// A request that the core has.
 pub(super) struct Request {
+    /// The serial number of the session that published it.
+    pub(super) session: u64,
     pub(super) client: String,
     pub(super) call: CallKey,
     /// The packet ids under which it was delivered on the current connection.
@@ -101,6 +103,7 @@
         let number = self.next_number;
         self.next_number += 1;
         let mut request = Request {
+            session: session.serial,
             client: client.to_string(),
             call: call.clone(),
             packet_ids: if publish.packet_id > 0 { vec![publish.packet_id] } else { Vec::new() },
@@ -194,6 +197,17 @@
             let event = CallEvent::RepeatAnswered { status, why };
             self.actions.push(Action::Report(CallReport { event, ..report }));
         }
+        let present_session = self.sessions.get(&request.client).map(|session| session.serial);
+        if present_session != Some(request.session) {
+            let status = outcome.status().to_string();
+            self.actions.push(Action::Report(CallReport {
+                client: request.client.clone(),
+                session: request.session,
+                packet_id: request.packet_ids.first().copied().unwrap_or_default(),
+                call: request.call.id.clone(),
+                event: CallEvent::AnsweredAfterSession { present_session, status },
+            }));
+        }
         let Some(session) = self.sessions.get_mut(&request.client) else {
             self.counts.answers_lost += 1;
             return;
