Stations: an answer goes to the session that published its call, or to none

What callers saw: a station's call was acknowledged with the status of an earlier call, before it had run, and never got its own answer; its session was new, its packet id used anew. Another user who took a client id over got the answer, body and correlation data, of the user before on a response topic that both may subscribe to. The answer also took the new session's call of the same id out of open_calls. Failed before: answer_of_a_discarded_session_acknowledges_nothing_in_the_next_one (QoS 1 and 2), answer_of_one_user_is_neither_sent_nor_kept_for_another_one..., repeats::call_of_a_new_session_gets_its_own_answer... on sockets. Change: a request carries the serial number of its session; its answer is delivered and remembered only there, else counted as lost. Why it works: serial numbers are never used anew in a process.

--- a/src/front/stations/sessions/requests.rs
+++ b/src/front/stations/sessions/requests.rs
@@ -208,7 +208,9 @@
                 event: CallEvent::AnsweredAfterSession { present_session, status },
             }));
         }
-        let Some(session) = self.sessions.get_mut(&request.client) else {
+        // The client may have another session by now, even of another user, whose messages have the same packet ids.
+        let session = self.sessions.get_mut(&request.client).filter(|s| s.serial == request.session);
+        let Some(session) = session else {
             self.counts.answers_lost += 1;
             return;
         };
--- a/src/front/stations/sessions/tests.rs
+++ b/src/front/stations/sessions/tests.rs
@@ -3,7 +3,8 @@
 use super::*;
 use crate::core::{FinalAnswer, ID_IN_USE};
 use crate::front::Invalid;
-use ochreward_mqtt::packet::{Publish, Subscribe};
+use ochreward_mqtt::Qos;
+use ochreward_mqtt::packet::{Ack, Publish, Subscribe};
 use std::collections::BTreeSet;
 
 const SECOND: u64 = 1_000_000;
@@ -454,3 +455,64 @@
     fixture.run_actions();
     assert!(fixture.closed.contains(&1));
 }
+
+/// A second user who may use the same client ids.
+const SECOND_USER: &str =
+    "\n[user.v]\npassword = \"$argon2id$\"\npublish = [\"in/{client}/#\"]\nsubscribe = [\"out/{client}/#\"]";
+
+fn clean_connect(client: &str) -> Connect {
+    Connect { clean_start: true, ..connect(client, 0) }
+}
+
+/// Guards against: a message that is acknowledged with the answer of another session's message under the same packet id.
+#[test]
+fn answer_of_a_discarded_session_acknowledges_nothing_in_the_next_one() {
+    let id_after_restart = [Qos::AtLeastOnce, Qos::ExactlyOnce];
+    for qos in id_after_restart {
+        let mut fixture = test_sessions("");
+        let publish = |call| Publish { qos, ..trigger(1, call, "alert-send") };
+        fixture.connect(1, clean_connect("a"));
+        fixture.publish(1, publish(0xaa));
+        fixture.sessions.connection_lost(fixture.now, 1);
+        fixture.connect(2, clean_connect("a"));
+        fixture.subscribe(2, &["out/a/#"]);
+        fixture.publish(2, publish(0xbb));
+        assert_eq!(fixture.answer(2, 1, FinalAnswer::Served(b"first".to_vec())), [], "{qos:?}");
+        assert_eq!(fixture.sessions.counts.answers_lost, 1);
+        let sent = fixture.answer(2, 2, FinalAnswer::Served(b"second".to_vec()));
+        assert_eq!(user_property(&sent[0], "call").as_deref(), Some("00000000000000bb"), "{qos:?}");
+        assert!(matches!(&sent[1], Packet::Publish(p) if p.payload == b"second"));
+    }
+}
+
+/// Guards against: an answer that goes to another user, who took over the client id and subscribes to the same topic.
+#[test]
+fn answer_of_one_user_is_neither_sent_nor_kept_for_another_one_under_the_same_client_id() {
+    let mut fixture = test_sessions(SECOND_USER);
+    fixture.connect(1, connect("a", 50));
+    fixture.publish(1, trigger(1, 7, "flow-read"));
+    fixture.connect(2, Connect { user_name: Some("v".into()), ..connect("a", 50) });
+    fixture.subscribe(2, &["out/a/#"]);
+    assert_eq!(fixture.answer(2, 1, FinalAnswer::Served(b"secret".to_vec())), []);
+    let sent = fixture.publish(2, Publish { dup: true, ..trigger(1, 7, "flow-read") });
+    assert_eq!((sent.len(), fixture.serves.len()), (0, 2), "it is a call of its own");
+}
+
+/// Guards against: an acknowledgement that arrives on a connection after another one took its session over.
+#[test]
+fn acknowledgement_on_the_connection_before_completes_nothing() {
+    let mut fixture = test_sessions("");
+    fixture.connect(1, connect("a", 50));
+    fixture.subscribe(1, &["out/a/#"]);
+    fixture.publish(1, trigger(1, 7, "flow-read"));
+    let sent = fixture.answer(1, 1, FinalAnswer::Served(Vec::new()));
+    let Some(Packet::Publish(answer)) = sent.last().cloned() else { panic!("{sent:?}") };
+    fixture.connect(2, connect("a", 50));
+    let puback =
+        Ack { packet_id: answer.packet_id, reason: ReasonCode::Success, properties: Properties::default() };
+    fixture.send(1, Packet::Puback(puback));
+    fixture.sessions.connection_lost(fixture.now, 2);
+    fixture.sessions.connection_accepted(fixture.now, 3);
+    let sent = fixture.send(3, Packet::Connect(Box::new(connect("a", 50))));
+    assert!(matches!(&sent[1], Packet::Publish(p) if p.dup && p.packet_id == answer.packet_id), "{sent:?}");
+}
--- a/tests/sockets/repeats.rs
+++ b/tests/sockets/repeats.rs
@@ -122,6 +122,29 @@
     assert_eq!(fixture.executor.left(), 0);
 }
 
+/// Guards against: a call that is acknowledged with the answer of an earlier session's call under the same packet id.
+#[test]
+fn call_of_a_new_session_gets_its_own_answer_and_not_that_of_the_session_before() {
+    let fixture = Fixture::new("");
+    for qos in [Qos::AtLeastOnce, Qos::ExactlyOnce] {
+        let mut first = Station::connect_clean(fixture.stations, "st-1");
+        first.send(&publish(trigger("st-1", 1, qos, "alert-send", 0xa0 + qos as u64)));
+        let mut earlier = fixture.executor.next();
+        drop(first);
+        let mut second = Station::connect_clean(fixture.stations, "st-1");
+        second.subscribe("out/st-1/#", Qos::AtMostOnce);
+        second.send(&publish(trigger("st-1", 1, qos, "alert-send", 0xb0 + qos as u64)));
+        let mut later = fixture.executor.next();
+        earlier.ok(b"earlier");
+        later.ok(b"later");
+        let acknowledgement = second.receive().expect("an acknowledgement");
+        let call = format!("{:016x}", 0xb0 + qos as u64);
+        assert_eq!(property(&acknowledgement, "call"), Some(call), "{acknowledgement:?}");
+        assert_eq!(status(&acknowledgement).as_deref(), Some("served"));
+        assert!(matches!(second.receive(), Some(Packet::Publish(p)) if p.payload == b"later"));
+    }
+}
+
 /// Guards against: a QoS 2 exchange of the process before that frees or runs anything in the new one.
 #[test]
 fn quality_of_service_2_after_a_restart_releases_nothing_and_runs_no_keyed_call_of_unknown_age() {
--- a/tests/sockets/stations.rs
+++ b/tests/sockets/stations.rs
@@ -66,18 +66,42 @@
 
     /// Connects as this client. The result is whether its session was present, or the reason of a refusal.
     pub fn connect(to: SocketAddr, client: &str, password: &str) -> (Station, Result<bool, ReasonCode>) {
-        let mut station = Station::open(to);
         let properties = Properties { session_expiry: Some(600), ..Properties::default() };
-        station.send(&Packet::Connect(Box::new(Connect {
+        Station::connect_with(
+            to,
+            Connect {
+                version: Version::V5,
+                clean_start: false,
+                keep_alive: 30,
+                properties,
+                client_id: client.into(),
+                will: None,
+                user_name: Some("east".into()),
+                password: Some(password.into()),
+            },
+        )
+    }
+
+    /// Connects as this client, which keeps no session.
+    pub fn connect_clean(to: SocketAddr, client: &str) -> Station {
+        let connect = Connect {
             version: Version::V5,
-            clean_start: false,
+            clean_start: true,
             keep_alive: 30,
-            properties,
+            properties: Properties::default(),
             client_id: client.into(),
             will: None,
             user_name: Some("east".into()),
-            password: Some(password.into()),
-        })));
+            password: Some(b"secret".to_vec()),
+        };
+        let (station, session) = Station::connect_with(to, connect);
+        assert_eq!(session, Ok(false));
+        station
+    }
+
+    fn connect_with(to: SocketAddr, connect: Connect) -> (Station, Result<bool, ReasonCode>) {
+        let mut station = Station::open(to);
+        station.send(&Packet::Connect(Box::new(connect)));
         let Some(Packet::Connack(connack)) = station.receive() else { panic!("no CONNACK") };
         let result =
             if connack.reason.is_failure() { Err(connack.reason) } else { Ok(connack.session_present) };
