Stations: what is known of a call outlives the session that published it

What callers saw: a station that keeps no session and sent an alert-send again after its connection had broken got 'failed: may have run before' while the call ran and was served (with DUP), or the alert ran twice (without DUP, or once the session had ended with its answer). Change: CallLogs holds the calls by user and client id, beyond sessions, without bodies once there is none; as many logs without a session as 'sessions' allows. A call that runs goes on for the next session of the same user, and its answer goes there alone.

--- a/src/front/stations/sessions.rs
+++ b/src/front/stations/sessions.rs
@@ -18,7 +18,7 @@
 use super::policy::Policy;
 use super::quota::Bucket;
 use crate::front::{Delivery, ParsedRequest};
-use calls::CallLog;
+use calls::{CallLogs, Owner};
 use ochreward_mqtt::delivery::{Inbound, Outbound};
 use ochreward_mqtt::packet::{Connack, Connect, DisconnectOrAuth, Packet, Version, Will};
 use ochreward_mqtt::topic::TopicFilter;
@@ -134,7 +134,12 @@
     /// When the will is to be published; set when the connection is lost.
     will_at: Option<u64>,
     bucket: Bucket,
-    calls: CallLog,
+}
+
+impl Session {
+    fn owner(&self, client: &str) -> Owner {
+        Owner { client: client.to_string(), user: self.user.clone() }
+    }
 }
 
 /// All sessions.
@@ -145,6 +150,7 @@
     sessions: BTreeMap<String, Session>,
     user_buckets: BTreeMap<String, Bucket>,
     requests: BTreeMap<i64, Request>,
+    calls: CallLogs,
     next_number: i64,
     next_session: u64,
     stopping: bool,
@@ -161,6 +167,7 @@
 impl Sessions {
     /// Creates an empty set of sessions.
     pub fn new(rules: Rules, policy: Policy) -> Sessions {
+        let calls = CallLogs::new(rules.sessions);
         Sessions {
             rules,
             policy,
@@ -168,6 +175,7 @@
             sessions: BTreeMap::new(),
             user_buckets: BTreeMap::new(),
             requests: BTreeMap::new(),
+            calls,
             next_number: 1,
             next_session: 1,
             stopping: false,
--- a/src/front/stations/sessions/calls.rs
+++ b/src/front/stations/sessions/calls.rs
@@ -1,5 +1,5 @@
-//! The calls of a client that this process knows: those that run, and the last ones that were answered. The number of
-//! answered calls and the size of their bodies are bounded.
+//! The calls of clients that this process knows: those that run, and the last ones that were answered. The numbers of
+//! answered calls and of logs, and the size of the bodies, are bounded.
 
 use super::Outcome;
 use crate::front::Fields;
@@ -36,13 +36,22 @@
     }
 }
 
-/// The calls of one client.
+/// Whose calls a log holds. Calls of one user are never known to another one under the same client id.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Owner {
+    pub(super) client: String,
+    pub(super) user: String,
+}
+
+/// The calls of one owner.
 #[derive(Default)]
 pub(super) struct CallLog {
     open: BTreeMap<CallKey, i64>,
     answered: BTreeMap<CallKey, Outcome>,
     /// The answered calls, oldest first.
     answered_order: VecDeque<CallKey>,
+    /// Set while the owner has no session: the place in the order in which such logs are dropped.
+    ended: Option<u64>,
 }
 
 impl CallLog {
@@ -56,11 +65,6 @@
         self.open.values().copied()
     }
 
-    /// Returns whether any call runs.
-    pub(super) fn has_open(&self) -> bool {
-        !self.open.is_empty()
-    }
-
     /// Returns the answer that this call was given.
     pub(super) fn answer(&self, call: &CallKey) -> Option<&Outcome> {
         self.answered.get(call)
@@ -71,15 +75,16 @@
         self.open.insert(call, request);
     }
 
-    /// Ends a call that never ran, or was refused: a repeat of it is a new call.
-    pub(super) fn end(&mut self, call: &CallKey) {
+    /// Ends a call. If it may have run its answer is remembered; else a repeat of it is a new call.
+    pub(super) fn end(&mut self, call: &CallKey, answer: &Outcome) {
         self.open.remove(call);
+        if answer.may_have_run {
+            self.remember(call, answer.clone());
+        }
     }
 
-    /// Ends a call and remembers its answer, without a body that is too long.
-    pub(super) fn end_answered(&mut self, call: &CallKey, mut answer: Outcome) {
-        self.end(call);
-        if answer.body.len() > MAX_REMEMBERED_BODY_BYTES {
+    fn remember(&mut self, call: &CallKey, mut answer: Outcome) {
+        if answer.body.len() > MAX_REMEMBERED_BODY_BYTES || self.ended.is_some() {
             answer.forget_body();
         }
         if self.answered.insert(call.clone(), answer).is_none() {
@@ -91,4 +96,66 @@
             self.answered.remove(&oldest);
         }
     }
+
+    fn is_empty(&self) -> bool {
+        self.open.is_empty() && self.answered.is_empty()
+    }
+}
+
+/// The call logs of all owners. A log outlives the session of its owner, so that a call is recognised by the next one; its
+/// bodies don't. The number of logs without a session is bounded, but for those with a call that runs.
+pub(super) struct CallLogs {
+    logs: BTreeMap<Owner, CallLog>,
+    /// The owners without a session, in the order in which their sessions ended.
+    ended: BTreeMap<u64, Owner>,
+    next_ended: u64,
+    max_ended: usize,
+}
+
+impl CallLogs {
+    /// Returns an empty set that keeps at most `max_ended` logs of owners without a session.
+    pub(super) fn new(max_ended: usize) -> CallLogs {
+        CallLogs { logs: BTreeMap::new(), ended: BTreeMap::new(), next_ended: 0, max_ended }
+    }
+
+    /// Returns the log of an owner.
+    pub(super) fn of(&mut self, owner: &Owner) -> &mut CallLog {
+        self.logs.entry(owner.clone()).or_default()
+    }
+
+    /// Returns whether a call of the owner runs.
+    pub(super) fn has_open(&self, owner: &Owner) -> bool {
+        self.logs.get(owner).is_some_and(|log| !log.open.is_empty())
+    }
+
+    /// Notes that the owner has a session.
+    pub(super) fn session_began(&mut self, owner: &Owner) {
+        if let Some(order) = self.of(owner).ended.take() {
+            self.ended.remove(&order);
+        }
+    }
+
+    /// Notes that the owner has no session any more.
+    pub(super) fn session_ended(&mut self, owner: &Owner) {
+        let order = self.next_ended;
+        let log = self.of(owner);
+        if log.is_empty() {
+            self.logs.remove(owner);
+            return;
+        }
+        log.ended = Some(order);
+        log.answered.values_mut().for_each(Outcome::forget_body);
+        self.ended.insert(order, owner.clone());
+        self.next_ended += 1;
+        if self.ended.len() > self.max_ended {
+            self.drop_oldest_ended();
+        }
+    }
+
+    fn drop_oldest_ended(&mut self) {
+        let oldest = self.ended.iter().find(|(_, owner)| !self.has_open(owner)).map(|(order, _)| *order);
+        if let Some(owner) = oldest.and_then(|order| self.ended.remove(&order)) {
+            self.logs.remove(&owner);
+        }
+    }
 }
--- a/src/front/stations/sessions/expiry.rs
+++ b/src/front/stations/sessions/expiry.rs
@@ -63,15 +63,10 @@
                 self.handle_trigger(now, Delivery::First { age_us: 0 }, &client, publish);
             }
         }
-        // An expired session is kept until its open requests are answered, so that repeats of them are still recognised.
         let expired =
             |s: &&Session| s.conn.is_none() && now >= s.disconnected_at + u64::from(s.expiry) * 1_000_000;
-        let expired: BTreeSet<String> = self
-            .sessions
-            .iter()
-            .filter(|(_, s)| expired(s) && !s.calls.has_open())
-            .map(|(c, _)| c.clone())
-            .collect();
+        let expired: BTreeSet<String> =
+            self.sessions.iter().filter(|(_, s)| expired(s)).map(|(c, _)| c.clone()).collect();
         expired.iter().for_each(|client| self.drop_session(client));
     }
 }
--- a/src/front/stations/sessions/login.rs
+++ b/src/front/stations/sessions/login.rs
@@ -1,7 +1,6 @@
 //! Opens and resumes sessions: CONNECT, the result of the password check, and the limit on the number of sessions.
 
 use super::Action;
-use super::calls::CallLog;
 use super::{ConnId, ConnState, Session, Sessions, TOPIC_ALIAS_MAXIMUM};
 use crate::front::stations::quota::Bucket;
 use ochreward_mqtt::delivery::{Inbound, Outbound};
@@ -65,16 +64,20 @@
         if let Some(old) = self.sessions.get(&client).and_then(|s| s.conn) {
             self.disconnect(now, old, ReasonCode::SessionTakenOver);
         }
-        let rules = &self.rules;
         let user = connect.user_name.clone().unwrap_or_default();
         let rate = self.policy.user(&user).map_or((0.0, 0.0), |u| u.client_rate);
-        let expiry = connect.properties.session_expiry.unwrap_or(0).min(rules.session_expiry);
-        let resumed = self.sessions.remove(&client).filter(|s| {
-            // A session that belongs to another user or has expired is not resumed.
+        let expiry = connect.properties.session_expiry.unwrap_or(0).min(self.rules.session_expiry);
+        // A session that belongs to another user or has expired is not resumed.
+        let resumable = |s: &Session| {
             !connect.clean_start
                 && s.user == user
                 && now < s.disconnected_at + u64::from(s.expiry) * 1_000_000
-        });
+        };
+        if !self.sessions.get(&client).is_some_and(resumable) {
+            self.drop_session(&client);
+        }
+        let rules = &self.rules;
+        let resumed = self.sessions.remove(&client);
         let present = resumed.is_some();
         let serial = self.next_session;
         self.next_session += 1;
@@ -90,7 +93,6 @@
             will: None,
             will_at: None,
             bucket: Bucket::new(now, rate.0, rate.1),
-            calls: CallLog::default(),
         });
         session.conn = Some(conn);
         (session.expiry, session.will, session.will_at) = (expiry, connect.will.clone(), None);
@@ -100,7 +102,9 @@
             (requested.receive_maximum.unwrap_or(u16::MAX), requested.topic_alias_maximum.unwrap_or(0));
         session.outbound.connected(present, window, aliases);
         // Messages of the previous connection are unacknowledged, so the station resends them.
-        for number in session.calls.open_requests() {
+        let owner = session.owner(&client);
+        self.calls.session_began(&owner);
+        for number in self.calls.of(&owner).open_requests() {
             if let Some(request) = self.requests.get_mut(&number) {
                 request.packet_ids.clear();
             }
@@ -130,7 +134,9 @@
 
     /// Evicts the session that has been disconnected longest, unless it has open requests.
     pub(super) fn evict_session(&mut self) -> bool {
-        let disconnected = self.sessions.iter().filter(|(_, s)| s.conn.is_none() && !s.calls.has_open());
+        let evictable =
+            |(client, s): &(&String, &Session)| s.conn.is_none() && !self.calls.has_open(&s.owner(client));
+        let disconnected = self.sessions.iter().filter(evictable);
         let Some(oldest) =
             disconnected.min_by_key(|(_, s)| s.disconnected_at).map(|(client, _)| client.clone())
         else {
@@ -143,6 +149,7 @@
     pub(super) fn drop_session(&mut self, client: &str) {
         if let Some(session) = self.sessions.remove(client) {
             self.counts.answers_lost += session.outbound.queued_and_in_flight().0 as u64;
+            self.calls.session_ended(&session.owner(client));
         }
     }
 }
--- a/src/front/stations/sessions/requests.rs
+++ b/src/front/stations/sessions/requests.rs
@@ -1,7 +1,7 @@
 //! Requests from publishing to the final answer: a message becomes a request, joins one that is running, or is answered from
 //! memory; a final answer is remembered and delivered.
 
-use super::calls::CallKey;
+use super::calls::{CallKey, Owner};
 use super::reports::{CallEvent, CallReport};
 use super::{ANSWER_EXPIRY_S, Action, Sessions, pair};
 use crate::core::{FinalAnswer, ID_IN_USE};
@@ -25,8 +25,10 @@
 impl Outcome {
     /// Drops the body, and says so.
     pub(super) fn forget_body(&mut self) {
-        self.body.clear();
-        self.user_properties.push(pair("body", "not kept"));
+        if !self.body.is_empty() {
+            self.body.clear();
+            self.user_properties.push(pair("body", "not kept"));
+        }
     }
 
     fn property(&self, name: &str) -> Option<&str> {
@@ -48,7 +50,7 @@
 pub(super) struct Request {
     /// The serial number of the session that published it.
     pub(super) session: u64,
-    pub(super) client: String,
+    pub(super) owner: Owner,
     pub(super) call: CallKey,
     /// The packet ids under which it was delivered on the current connection.
     pub(super) packet_ids: Vec<u16>,
@@ -58,6 +60,18 @@
     pub(super) repeat: Option<CallReport>,
 }
 
+impl Request {
+    /// Adds a later delivery of the same call. If that is a delivery to another session, the answer goes to that one alone.
+    fn join(&mut self, later: Request) {
+        if self.session == later.session {
+            self.packet_ids.extend(later.packet_ids);
+        } else {
+            let repeat = self.repeat.take();
+            *self = Request { repeat, ..later };
+        }
+    }
+}
+
 /// Returns when the station says that it first sent a message, in Unix milliseconds.
 fn sent_ms(publish: &Publish) -> Option<u64> {
     publish.properties.user("sent").and_then(|sent| sent.parse().ok())
@@ -104,7 +118,7 @@
         self.next_number += 1;
         let mut request = Request {
             session: session.serial,
-            client: client.to_string(),
+            owner: session.owner(client),
             call: call.clone(),
             packet_ids: if publish.packet_id > 0 { vec![publish.packet_id] } else { Vec::new() },
             response_topic: publish.properties.response_topic.clone(),
@@ -118,16 +132,15 @@
             call: call.id.clone(),
             event,
         };
+        let log = self.calls.of(&request.owner);
         // The request is running: its answer acknowledges this delivery too.
-        if let Some(known) =
-            session.calls.open_request(&call).and_then(|number| self.requests.get_mut(&number))
-        {
+        if let Some(known) = log.open_request(&call).and_then(|number| self.requests.get_mut(&number)) {
             self.counts.duplicates += 1;
             self.actions.push(Action::Report(report(CallEvent::Joined)));
-            known.packet_ids.extend(request.packet_ids);
+            known.join(request);
             return;
         }
-        if let Some(outcome) = session.calls.answer(&call).cloned() {
+        if let Some(outcome) = log.answer(&call).cloned() {
             self.counts.duplicates += 1;
             let status = outcome.status().to_string();
             self.actions.push(Action::Report(report(CallEvent::AnsweredFromMemory { status })));
@@ -167,7 +180,7 @@
             self.actions.push(Action::Report(submitted.clone()));
             request.repeat = Some(submitted);
         }
-        session.calls.begin(call, number);
+        log.begin(call, number);
         self.requests.insert(number, request);
         self.actions.push(Action::Serve { number, sketch, body: publish.payload, delivery, refuse_after });
     }
@@ -197,11 +210,12 @@
             let event = CallEvent::RepeatAnswered { status, why };
             self.actions.push(Action::Report(CallReport { event, ..report }));
         }
-        let present_session = self.sessions.get(&request.client).map(|session| session.serial);
+        self.calls.of(&request.owner).end(&request.call, &outcome);
+        let present_session = self.sessions.get(&request.owner.client).map(|session| session.serial);
         if present_session != Some(request.session) {
             let status = outcome.status().to_string();
             self.actions.push(Action::Report(CallReport {
-                client: request.client.clone(),
+                client: request.owner.client.clone(),
                 session: request.session,
                 packet_id: request.packet_ids.first().copied().unwrap_or_default(),
                 call: request.call.id.clone(),
@@ -209,15 +223,9 @@
             }));
         }
         // The client may have another session by now, even of another user, whose messages have the same packet ids.
-        let session = self.sessions.get_mut(&request.client).filter(|s| s.serial == request.session);
-        let Some(session) = session else {
+        if present_session != Some(request.session) {
             self.counts.answers_lost += 1;
             return;
-        };
-        if outcome.may_have_run {
-            session.calls.end_answered(&request.call, outcome.clone());
-        } else {
-            session.calls.end(&request.call);
         }
         self.deliver(request, outcome);
     }
@@ -225,7 +233,7 @@
     /// Sends a station its final answer: in the acknowledgement, and on the response topic if the session subscribes to
     /// it.
     pub(super) fn deliver(&mut self, request: Request, outcome: Outcome) {
-        let client = request.client;
+        let client = request.owner.client;
         let Some(session) = self.sessions.get_mut(&client) else {
             self.counts.answers_lost += 1;
             return;
--- a/src/front/stations/sessions/tests.rs
+++ b/src/front/stations/sessions/tests.rs
@@ -498,6 +498,44 @@
     assert_eq!((sent.len(), fixture.serves.len()), (0, 2), "it is a call of its own");
 }
 
+/// Guards against: an alert that fails or runs twice because the session that published it has been discarded.
+#[test]
+fn call_that_runs_is_known_to_the_next_session_of_the_same_user() {
+    for dup in [true, false] {
+        let mut fixture = test_sessions("");
+        fixture.connect(1, clean_connect("a"));
+        fixture.publish(1, trigger(3, 7, "alert-send"));
+        fixture.sessions.connection_lost(fixture.now, 1);
+        fixture.connect(2, clean_connect("a"));
+        fixture.publish(2, trigger(1, 8, "alert-send"));
+        fixture.publish(2, Publish { dup, ..trigger(2, 7, "alert-send") });
+        assert_eq!(fixture.serves.len(), 2);
+        assert_eq!(fixture.answer(2, 2, FinalAnswer::Served(Vec::new())).len(), 1);
+        let sent = fixture.answer(2, 1, FinalAnswer::Served(Vec::new()));
+        assert!(matches!(&sent[..], [Packet::Puback(a)] if a.packet_id == 2), "{sent:?}");
+        assert_eq!(user_property(&sent[0], "call").as_deref(), Some("0000000000000007"));
+    }
+}
+
+/// Guards against: an alert that runs twice because its answer was forgotten with the session that had ended.
+#[test]
+fn call_that_was_answered_after_its_session_is_known_to_the_next_one() {
+    for dup in [true, false] {
+        let mut fixture = test_sessions("");
+        fixture.connect(1, clean_connect("a"));
+        fixture.publish(1, trigger(1, 7, "alert-send"));
+        fixture.sessions.connection_lost(fixture.now, 1);
+        fixture.advance_by(SECOND);
+        fixture.answer(1, 1, FinalAnswer::Served(Vec::new()));
+        fixture.advance_by(SECOND);
+        assert_eq!(fixture.sessions.session_counts(), (0, 0));
+        fixture.connect(2, clean_connect("a"));
+        let sent = fixture.publish(2, Publish { dup, ..trigger(1, 7, "alert-send") });
+        assert_eq!(user_property(&sent[0], "status").as_deref(), Some("served"), "dup {dup}");
+        assert_eq!(fixture.serves.len(), 1);
+    }
+}
+
 /// Guards against: an acknowledgement that arrives on a connection after another one took its session over.
 #[test]
 fn acknowledgement_on_the_connection_before_completes_nothing() {
