Broker's front: triggers of two clients under one id are told apart by their response topic

What callers saw: a trigger whose 'call' another client had used was acknowledged to the broker and never answered on its own response topic: while the other one was open it joined it, afterwards it counted as answered. Cause: src/front/mqtt/records.rs of, open_with_id and answered: found by the call id alone, which two clients may choose. Change: MessageKey is the id and a digest of the response topic.

--- a/src/front/mqtt/front.rs
+++ b/src/front/mqtt/front.rs
@@ -4,7 +4,7 @@
 
 use super::options::Options;
 use super::packets;
-use super::records::{Message, Records, Stage};
+use super::records::{Message, MessageKey, Records, Stage};
 use crate::core::{FinalAnswer, Ticket};
 use crate::counters::{Counters, count};
 use crate::front::{Delivery, Fields, Intake, Invalid, ParsedRequest, Submission, WHY_MAY_HAVE_RUN};
@@ -336,7 +336,9 @@
         count(&self.counters.mqtt_messages);
         let fields: Fields = publish.properties.user.iter().cloned().collect();
         let call: Arc<str> = fields.get("call").map_or("", String::as_str).into();
-        if let Some(number) = self.records.open_with_id(&call) {
+        let topic = publish.properties.response_topic.clone().unwrap_or_default();
+        let key = MessageKey::of(&call, &topic);
+        if let Some(number) = self.records.open(&key) {
             // Delivered again while the request is open: its answer acknowledges this delivery too.
             count(&self.counters.mqtt_duplicates);
             if let Some(message) = self.records.messages.get_mut(&number) {
@@ -344,13 +346,12 @@
             }
             return Ok(());
         }
-        if self.records.answered(&call) {
+        if self.records.answered(&key) {
             count(&self.counters.mqtt_duplicates);
             self.acknowledge(now, publish.packet_id);
             return Ok(());
         }
         let again = publish.dup || publish.retain;
-        let topic = publish.properties.response_topic.clone().unwrap_or_default();
         if topic.is_empty() || topic.starts_with('$') || topic.contains(['+', '#', '\0']) {
             // There is no response topic, or no record can be looked up on it: subscribing to a name that starts with
             // `$share` would make a shared subscription.
--- a/src/front/mqtt/records.rs
+++ b/src/front/mqtt/records.rs
@@ -2,7 +2,9 @@
 //! ids are bounded in number; unacknowledged QoS 1 messages are bounded by the receive maximum.
 
 use crate::front::ParsedRequest;
+use siphasher::sip::SipHasher13;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
 /// Ids of answered messages that are remembered.
@@ -21,6 +23,22 @@
     Publishing { id: u16 },
 }
 
+/// Identifies a message: its id, and a digest of its response topic, since two clients may choose the same id.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MessageKey {
+    call: Arc<str>,
+    topic_digest: u64,
+}
+
+impl MessageKey {
+    /// Returns the key of a message with this id and response topic.
+    pub fn of(call: &Arc<str>, topic: &str) -> MessageKey {
+        let mut digest = SipHasher13::new();
+        topic.hash(&mut digest);
+        MessageKey { call: call.clone(), topic_digest: digest.finish() }
+    }
+}
+
 /// A message that has no acknowledged answer yet.
 #[derive(Debug)]
 pub struct Message {
@@ -44,15 +62,21 @@
     pub answer: (Vec<(String, String)>, Vec<u8>),
 }
 
+impl Message {
+    fn key(&self) -> MessageKey {
+        MessageKey::of(&self.call, &self.topic)
+    }
+}
+
 /// All messages without an acknowledged answer, and the ids of those answered.
 #[derive(Default)]
 pub struct Records {
     last_number: i64,
     /// The messages by a number that is local to this process.
     pub messages: BTreeMap<i64, Message>,
-    calls: BTreeMap<Arc<str>, i64>,
-    answered: BTreeSet<Arc<str>>,
-    answered_order: VecDeque<Arc<str>>,
+    open: BTreeMap<MessageKey, i64>,
+    answered: BTreeSet<MessageKey>,
+    answered_order: VecDeque<MessageKey>,
 }
 
 impl Records {
@@ -61,20 +85,20 @@
         self.last_number += 1;
         // Messages without a valid id must not be taken for repeats of each other.
         if message.retained {
-            self.calls.insert(message.call.clone(), self.last_number);
+            self.open.insert(message.key(), self.last_number);
         }
         self.messages.insert(self.last_number, message);
         self.last_number
     }
 
-    /// Returns the number of the open message with this id.
-    pub fn open_with_id(&self, call: &str) -> Option<i64> {
-        self.calls.get(call).copied()
+    /// Returns the number of the open message with this key.
+    pub fn open(&self, key: &MessageKey) -> Option<i64> {
+        self.open.get(key).copied()
     }
 
-    /// Returns whether the message with this id is remembered as answered.
-    pub fn answered(&self, call: &str) -> bool {
-        self.answered.contains(call)
+    /// Returns whether the message with this key is remembered as answered.
+    pub fn answered(&self, key: &MessageKey) -> bool {
+        self.answered.contains(key)
     }
 
     /// Returns the number of the message whose answer or record is on this topic.
@@ -85,11 +109,12 @@
     /// Removes a message whose answer the broker holds, and remembers its id.
     pub fn complete(&mut self, number: i64) -> Option<Message> {
         let message = self.messages.remove(&number)?;
-        if self.calls.get(&message.call) == Some(&number) {
-            self.calls.remove(&message.call);
+        let key = message.key();
+        if self.open.get(&key) == Some(&number) {
+            self.open.remove(&key);
         }
-        if message.retained && self.answered.insert(message.call.clone()) {
-            self.answered_order.push_back(message.call.clone());
+        if message.retained && self.answered.insert(key.clone()) {
+            self.answered_order.push_back(key);
         }
         // Unlimited ids would exhaust the memory. A repeat whose id was dropped is looked up with the broker.
         while self.answered_order.len() > MAX_REMEMBERED_IDS {
--- a/tests/sockets/mqtt.rs
+++ b/tests/sockets/mqtt.rs
@@ -227,6 +227,31 @@
     assert_eq!((answers.len(), status(&answers[0]).0, fixture.executor.left()), (1, "served", 0));
 }
 
+/// Guards against: a trigger that is taken for a repeat of another client's, under the same id, and never gets an answer.
+#[test]
+fn triggers_of_two_clients_under_one_id_are_each_answered_on_their_own_topic() {
+    let fixture = Fixture::new();
+    let from = |client: u8| Message {
+        response_topic: Some(format!("stations/{client}/answers/0000000000000001")),
+        correlation: Some(vec![client]),
+        ..trigger("flow-read", 1, 0)
+    };
+    fixture.broker.publish(&from(7));
+    let mut line = fixture.executor.next();
+    // Executors know calls by their ids, so that a second one is not run while the first is.
+    fixture.broker.publish(&from(8));
+    let answers = fixture.broker.answers(1);
+    assert_eq!((status(&answers[0]).0, answers[0].correlation.as_deref()), ("failed", Some(&[8][..])));
+    line.ok(b"for 7");
+    fixture.broker.answers(2);
+    fixture.broker.publish(&from(9));
+    fixture.executor.next().ok(b"for 9");
+    let answers = fixture.broker.answers(3);
+    let told: Vec<(&str, &[u8])> = answers[1..].iter().map(status).collect();
+    assert_eq!(told, [("served", &b"for 7"[..]), ("served", &b"for 9"[..])]);
+    assert_eq!((fixture.broker.unacknowledged(), fixture.executor.left()), (0, 0));
+}
+
 #[test]
 fn a_connection_is_reopened_after_malformed_bytes_from_the_broker() {
     let fixture = Fixture::new();
