Stations: a trigger's steps are functions of their own

Cause: handle_trigger did everything from reading to submitting in one function of a hundred lines, and a call's delivery was described twice. Change: known calls, reading and rights, and limits are a function each; CallDelivery and CallEvent are parts of CallReport.

--- a/src/front/stations/sessions/reports.rs
+++ b/src/front/stations/sessions/reports.rs
@@ -2,9 +2,18 @@
 
 use std::sync::Arc;
 
-/// A call that was delivered more than once, and what became of this delivery.
+/// A delivery of a call, and what became of it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CallReport {
+    /// The delivery.
+    pub delivery: CallDelivery,
+    /// What became of it.
+    pub event: CallEvent,
+}
+
+/// A delivery of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallDelivery {
     /// The client id of the station.
     pub client: String,
     /// The serial number of its session in this process.
@@ -13,8 +22,6 @@
     pub packet_id: u16,
     /// The id of the call.
     pub call: Arc<str>,
-    /// What became of it.
-    pub event: CallEvent,
 }
 
 /// What became of a delivery.
@@ -51,9 +58,9 @@
 impl CallReport {
     /// Writes the report to the log.
     pub fn log(&self) {
-        let CallReport { client, session, packet_id, call, event } = self;
+        let CallDelivery { client, session, packet_id, call } = &self.delivery;
         let (client, call) = (client.as_str(), &**call);
-        match event {
+        match &self.event {
             CallEvent::Joined => {
                 tracing::info!(client, session, packet_id, call, "a repeated call joins the one that runs")
             }
--- a/src/front/stations/sessions/requests.rs
+++ b/src/front/stations/sessions/requests.rs
@@ -2,7 +2,7 @@
 //! memory; a final answer is remembered and delivered.
 
 use super::calls::{CallKey, Owner};
-use super::reports::{CallEvent, CallReport};
+use super::reports::{CallDelivery, CallEvent, CallReport};
 use super::{ANSWER_EXPIRY_S, Action, Sessions, pair};
 use crate::core::{FinalAnswer, ID_IN_USE};
 use crate::front::stations::policy::User;
@@ -57,10 +57,19 @@
     pub(super) response_topic: Option<String>,
     pub(super) correlation: Option<Vec<u8>>,
     /// It was submitted as a call that may have run: the delivery, to be completed by its answer.
-    pub(super) repeat: Option<CallReport>,
+    pub(super) repeat: Option<CallDelivery>,
 }
 
 impl Request {
+    fn last_delivery(&self) -> CallDelivery {
+        CallDelivery {
+            client: self.owner.client.clone(),
+            session: self.session,
+            packet_id: self.packet_ids.last().copied().unwrap_or_default(),
+            call: self.call.id.clone(),
+        }
+    }
+
     /// Adds a later delivery of the same call. If that is a delivery to another session, the answer goes to that one alone.
     fn join(&mut self, later: Request) {
         if self.session == later.session {
@@ -109,80 +118,96 @@
 
     /// Turns a message into a request, or answers it with the reason why it is refused.
     pub(super) fn handle_trigger(&mut self, now: u64, delivery: Delivery, client: &str, publish: Publish) {
-        let Some(session) = self.sessions.get_mut(client) else { return };
+        let Some(session) = self.sessions.get(client) else { return };
         self.counts.triggers += 1;
-        let user = self.policy.user(&session.user);
         let fields: Fields = publish.properties.user.iter().cloned().collect();
         let call = CallKey::of(&fields, &publish.payload);
-        let number = self.next_number;
-        self.next_number += 1;
-        let mut request = Request {
+        let request = Request {
             session: session.serial,
             owner: session.owner(client),
-            call: call.clone(),
+            call,
             packet_ids: if publish.packet_id > 0 { vec![publish.packet_id] } else { Vec::new() },
             response_topic: publish.properties.response_topic.clone(),
             correlation: publish.properties.correlation.clone(),
             repeat: None,
         };
-        let report = |event: CallEvent| CallReport {
-            client: client.to_string(),
-            session: session.serial,
-            packet_id: publish.packet_id,
-            call: call.id.clone(),
-            event,
+        let delivered = request.last_delivery();
+        let Some(mut request) = self.answer_known_call(request, &delivered) else { return };
+        let sketch = match self.read_request(&request.owner, &publish.topic, &fields) {
+            Ok(sketch) => sketch,
+            Err(outcome) => return self.deliver(request, outcome),
         };
+        let refuse_after = self.refusal_delay(now, client);
+        match (refuse_after, delivery) {
+            (Some(after), Delivery::First { .. }) => return self.deliver(request, refused(after)),
+            (None, Delivery::First { .. }) => {}
+            // A repeat may have run: whether it may be refused is for the core to say.
+            (_, Delivery::Repeat { age_us }) => {
+                self.counts.repeats += 1;
+                self.report(&delivered, CallEvent::SubmittedAsRepeat { age_us });
+                request.repeat = Some(delivered);
+            }
+        }
+        let number = self.next_number;
+        self.next_number += 1;
+        self.calls.of(&request.owner).begin(request.call.clone(), number);
+        self.requests.insert(number, request);
+        self.actions.push(Action::Serve { number, sketch, body: publish.payload, delivery, refuse_after });
+    }
+
+    fn report(&mut self, delivery: &CallDelivery, event: CallEvent) {
+        self.actions.push(Action::Report(CallReport { delivery: delivery.clone(), event }));
+    }
+
+    /// Lets a delivery of a known call wait for the answer, or gives it the remembered one. Returns the request if its call
+    /// is not known.
+    fn answer_known_call(&mut self, request: Request, delivered: &CallDelivery) -> Option<Request> {
         let log = self.calls.of(&request.owner);
-        // The request is running: its answer acknowledges this delivery too.
-        if let Some(known) = log.open_request(&call).and_then(|number| self.requests.get_mut(&number)) {
-            self.counts.duplicates += 1;
-            self.actions.push(Action::Report(report(CallEvent::Joined)));
+        if let Some(known) = log.open_request(&request.call).and_then(|number| self.requests.get_mut(&number))
+        {
             known.join(request);
-            return;
-        }
-        if let Some(outcome) = log.answer(&call).cloned() {
             self.counts.duplicates += 1;
-            let status = outcome.status().to_string();
-            self.actions.push(Action::Report(report(CallEvent::AnsweredFromMemory { status })));
-            return self.deliver(request, outcome);
+            self.report(delivered, CallEvent::Joined);
+            return None;
         }
-        let sketch = match ParsedRequest::read(&fields) {
-            Ok(sketch) => sketch,
-            Err(invalid) => {
-                return self.deliver(request, invalid_field(&invalid));
-            }
-        };
-        let may = |u: &User| {
-            u.may_publish(client, &publish.topic) && u.may_request(&sketch.class, sketch.tenant.as_deref())
+        let Some(outcome) = log.answer(&request.call).cloned() else { return Some(request) };
+        self.counts.duplicates += 1;
+        self.report(delivered, CallEvent::AnsweredFromMemory { status: outcome.status().to_string() });
+        self.deliver(request, outcome);
+        None
+    }
+
+    /// Reads the parameters of a request and checks that its user may make it.
+    fn read_request(&self, owner: &Owner, topic: &str, fields: &Fields) -> Result<ParsedRequest, Outcome> {
+        let sketch = ParsedRequest::read(fields).map_err(|invalid| invalid_field(&invalid))?;
+        let may = |user: &User| {
+            user.may_publish(&owner.client, topic)
+                && user.may_request(&sketch.class, sketch.tenant.as_deref())
         };
-        if !user.is_some_and(may) {
-            return self
-                .deliver(request, failed(ReasonCode::NotAuthorized, "may not be asked for by this client"));
+        if !self.policy.user(&owner.user).is_some_and(may) {
+            return Err(failed(ReasonCode::NotAuthorized, "may not be asked for by this client"));
         }
-        let rate = user.map_or((0.0, 0.0), |u| u.user_rate);
+        Ok(sketch)
+    }
+
+    /// Returns the delay after which a request may be sent again if the limits don't allow it now; else counts it against
+    /// them.
+    fn refusal_delay(&mut self, now: u64, client: &str) -> Option<u64> {
+        let session = self.sessions.get_mut(client)?;
+        let rate = self.policy.user(&session.user).map_or((0.0, 0.0), |user| user.user_rate);
         let shared =
             self.user_buckets.entry(session.user.clone()).or_insert_with(|| Bucket::new(now, rate.0, rate.1));
         let wait = session.bucket.wait_us(now).max(shared.wait_us(now));
         self.counts.limited += u64::from(wait > 0);
-        let stop_delay = self.stopping.then_some(self.rules.pushback);
-        let refuse_after = stop_delay.or((wait > 0).then_some(wait));
-        if refuse_after.is_none() {
-            session.bucket.take();
-            shared.take();
-        }
-        // A repeat may have run: whether it may be refused is for the core to say.
-        if let (Some(after), Delivery::First { .. }) = (refuse_after, delivery) {
-            return self.deliver(request, refused(after));
+        if self.stopping {
+            return Some(self.rules.pushback);
         }
-        if let Delivery::Repeat { age_us } = delivery {
-            let submitted = report(CallEvent::SubmittedAsRepeat { age_us });
-            self.counts.repeats += 1;
-            self.actions.push(Action::Report(submitted.clone()));
-            request.repeat = Some(submitted);
+        if wait > 0 {
+            return Some(wait);
         }
-        log.begin(call, number);
-        self.requests.insert(number, request);
-        self.actions.push(Action::Serve { number, sketch, body: publish.payload, delivery, refuse_after });
+        session.bucket.take();
+        shared.take();
+        None
     }
 
     /// Delivers the core's final answer to a request.
@@ -205,25 +230,17 @@
 
     pub(super) fn settle(&mut self, number: i64, outcome: Outcome) {
         let Some(mut request) = self.requests.remove(&number) else { return };
-        if let Some(report) = request.repeat.take() {
-            let (status, why) = (outcome.status().to_string(), outcome.why().map(str::to_string));
-            let event = CallEvent::RepeatAnswered { status, why };
-            self.actions.push(Action::Report(CallReport { event, ..report }));
+        let status = outcome.status().to_string();
+        if let Some(delivered) = request.repeat.take() {
+            let why = outcome.why().map(str::to_string);
+            self.report(&delivered, CallEvent::RepeatAnswered { status: status.clone(), why });
         }
         self.calls.of(&request.owner).end(&request.call, &outcome);
-        let present_session = self.sessions.get(&request.owner.client).map(|session| session.serial);
-        if present_session != Some(request.session) {
-            let status = outcome.status().to_string();
-            self.actions.push(Action::Report(CallReport {
-                client: request.owner.client.clone(),
-                session: request.session,
-                packet_id: request.packet_ids.first().copied().unwrap_or_default(),
-                call: request.call.id.clone(),
-                event: CallEvent::AnsweredAfterSession { present_session, status },
-            }));
-        }
         // The client may have another session by now, even of another user, whose messages have the same packet ids.
+        let present_session = self.sessions.get(&request.owner.client).map(|session| session.serial);
         if present_session != Some(request.session) {
+            let delivered = request.last_delivery();
+            self.report(&delivered, CallEvent::AnsweredAfterSession { present_session, status });
             self.counts.answers_lost += 1;
             return;
         }
