--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -5,6 +5,7 @@
 
 use super::Node;
 use super::limits::derive_limits;
+use super::versions::Origin;
 use crate::config::{Config, Faults};
 use crate::counters::{count, print_line};
 use crate::discovery::ListOrigin;
@@ -81,6 +82,7 @@
         self.config = config;
         self.adopt_settings();
         self.update_own_file();
+        self.log_configuration(Origin::Reload);
         if self.resolver.offer_list(self.now, ListOrigin::Configuration, serial, executors) {
             self.list_changed();
         } else {
--- a/src/node/versions.rs
+++ b/src/node/versions.rs
@@ -14,6 +14,7 @@
 use crate::net::{Poll, PollEvent};
 use crate::versions::rules::{self, CheckContext, Usage};
 use crate::versions::{ConfigStream, StartOptions, StreamEvent, read};
+use ochreward_stream::Version;
 use ochreward_stream::wire::Code;
 use serde_json::Value;
 use std::collections::BTreeSet;
@@ -30,6 +31,38 @@
     pub brokers: Option<Vec<mqtt::Options>>,
 }
 
+/// The way by which a configuration comes into use, as the log names it.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Origin {
+    /// The start of the process.
+    Start,
+    /// A SIGHUP.
+    Reload,
+    /// A version of the control service.
+    Version,
+    /// The version that the other process of this dispatcher runs.
+    OtherProcess,
+    /// The end of a trial that found a version worse.
+    Rollback,
+}
+
+/// Logs which configuration comes into use, and whether it keeps the platform's limits.
+fn log_configuration_in_use(config: &Config, origin: Origin, version: Option<Version>) {
+    let platform = if config.has_no_settings { None } else { VersionedConfig::read(config.source()).ok() };
+    let context = CheckContext { platform, running: None, usage: Usage::default() };
+    let violations = rules::violations(&context, &config.parts);
+    let fault = violations.first().map(ToString::to_string).unwrap_or_default();
+    let version = version.map_or_else(|| "none".to_string(), |v| v.to_string());
+    info!(
+        instance = config.name,
+        ?origin,
+        version,
+        violations = violations.len(),
+        fault,
+        "a configuration is in use"
+    );
+}
+
 /// Starts the stream, and applies the stored version to the configuration.
 pub(super) fn start_stream(
     poll: &mut Poll,
@@ -72,6 +105,7 @@
         }
         None => info!(instance = config.name, "no version is stored: starting on the instance's own file"),
     }
+    log_configuration_in_use(config, Origin::Start, stream.version());
     started.stream = Some(stream);
     Ok(started)
 }
@@ -140,11 +174,18 @@
                         if result.is_ok() {
                             self.apply_version(*effective);
                         }
+                        let applied = result.is_ok();
                         if let Some(stream) = &mut self.stream {
                             stream.applied(&mut self.poll, self.now, ticket, result);
                         }
+                        if applied {
+                            self.log_configuration(Origin::Version);
+                        }
+                    }
+                    StreamEvent::RollBack(effective) => {
+                        self.apply_version(*effective);
+                        self.log_configuration(Origin::Rollback);
                     }
-                    StreamEvent::RollBack(effective) => self.apply_version(*effective),
                 }
             }
         }
@@ -168,6 +209,13 @@
         self.answer_operators();
     }
 
+    /// Logs which configuration has come into use; without a stream it is always the instance's own file.
+    pub(super) fn log_configuration(&self, origin: Origin) {
+        if let Some(stream) = &self.stream {
+            log_configuration_in_use(&self.config, origin, stream.version());
+        }
+    }
+
     /// Applies the running version to a reread file; the dispatcher itself is not changed yet.
     pub(super) fn overlay_running_version(&self, config: &mut Config) -> Result<(), ReloadError> {
         let Some(stream) = &self.stream else { return Ok(()) };
@@ -194,7 +242,10 @@
     pub(super) fn follow_other_process_version(&mut self) {
         let Some(running) = self.stream.as_mut().and_then(ConfigStream::follow) else { return };
         match read(running.as_ref(), &Node::own_file(&self.config)) {
-            Ok(effective) => self.apply_version(*effective),
+            Ok(effective) => {
+                self.apply_version(*effective);
+                self.log_configuration(Origin::OtherProcess);
+            }
             Err(faults) => {
                 warn!(fault = ?faults.first(), "the version that the other process runs can't be read here")
             }
