--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod broker;
+mod control_kit;
 mod crossings;
 mod deployments;
 mod discovery;
