Versions: the platform's file binds whatever way brings a configuration into use

A stored, running, followed or rolled-back version went on against each other limit of the platform as well: ration of loads, cold budget, drain, memory, sockets, zones.

Cause: rules::violations was called for offered versions alone (check in src/versions/store_thread.rs, StreamEvent::Apply in src/node/versions.rs). start_stream, overlay_running_version (SIGHUP), follow_other_process_version and Job::RollBack read a version over the file with 'read', which looks for unreadable keys only. A rollback target that couldn't be read counted as run while the refused version went on; a rollback read over the file of before a SIGHUP replaced what the SIGHUP had brought; has_base stayed that of the start.

A withdrawn last good version stays a candidate, so the same file leads to the same end at a SIGHUP and at a start.

Why it works: no way is left that reads a version over a file without the limits; an offered version is held against both sets as before.

--- a/crates/stream/src/subscriber.rs
+++ b/crates/stream/src/subscriber.rs
@@ -96,6 +96,15 @@
     TurnedAway,
 }
 
+/// A version that is not used because the instance's own file does not permit it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Withdrawal {
+    /// The version.
+    pub version: Version,
+    /// What the file does not permit, by key.
+    pub faults: Vec<Fault>,
+}
+
 /// An action for the caller to carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -117,6 +126,8 @@
     StoreState(SubscriberState),
     /// Log that a version was rejected.
     Rejected(Version, Code, Vec<Fault>),
+    /// Log that the running version was withdrawn; delete it if it was on trial.
+    Withdrawn(Withdrawal),
 }
 
 /// The state of the connection to a service.
@@ -194,7 +205,7 @@
             last_service_message_at: None,
             steps: VecDeque::new(),
         };
-        if subscriber.version() != subscriber.last_good.as_ref().map(|good| good.version) {
+        if subscriber.running.is_some() && subscriber.version() != subscriber.last_good_version() {
             subscriber.trial.begin(now, subscriber.health);
         }
         subscriber
@@ -557,6 +568,46 @@
         }
     }
 
+    /// Returns the versions that may run without an offer, the preferred one first: the running one and the last good one.
+    pub fn candidates(&self) -> Vec<Arc<Snapshot>> {
+        let last_good = self.last_good.as_ref().filter(|good| Some(good.version) != self.version());
+        self.running.iter().chain(last_good).cloned().collect()
+    }
+
+    /// Sets whether the instance can run without any version.
+    pub fn set_has_base(&mut self, has_base: bool) {
+        self.options.has_base = has_base;
+    }
+
+    /// Handles the selection of one of the [candidates](Subscriber::candidates), or of the instance's own file if `selected`
+    /// is `None`. A last good version that was withdrawn stays a candidate, unless the instance can't run without one.
+    pub fn on_selected(&mut self, selected: Option<Version>, withdrawn: Vec<Withdrawal>) {
+        let previous = self.version();
+        if selected != previous {
+            self.running = self.candidates().into_iter().find(|c| Some(c.version) == selected);
+            self.trial.cancel();
+        }
+        for withdrawal in withdrawn {
+            let version = withdrawal.version;
+            if !self.options.has_base && self.last_good_version() == Some(version) {
+                self.last_good = None;
+            }
+            if previous == Some(version) {
+                self.report_withdrawal(withdrawal);
+            }
+        }
+    }
+
+    /// Reports to the service that a version which ran is withdrawn. Without a connection the next `Hello` tells it.
+    fn report_withdrawal(&mut self, withdrawal: Withdrawal) {
+        if self.connected() {
+            let why = withdrawal.faults.first().map(Fault::to_string).unwrap_or_default();
+            let version = withdrawal.version;
+            self.send(ToService::Reverted { version, running: self.version(), why });
+        }
+        self.steps.push_back(Action::Withdrawn(withdrawal));
+    }
+
     /// Takes over the versions and memory that another process of this dispatcher has applied.
     pub fn adopt(&mut self, running: Option<Snapshot>, good: Option<Snapshot>, memory: SubscriberState) {
         let version = running.as_ref().map(|r| r.version).unwrap_or_default();
--- a/crates/stream/tests/subscriber.rs
+++ b/crates/stream/tests/subscriber.rs
@@ -1,7 +1,7 @@
 //! The subscriber's state machine: each documented outcome on its own, and a comparison with a small reference model
 //! under random sequences of events. A failure prints the shortest sequence that causes it.
 
-use ochreward_stream::subscriber::{CloseReason, FollowedService, OfferId, Options};
+use ochreward_stream::subscriber::{CloseReason, FollowedService, OfferId, Options, Withdrawal};
 use ochreward_stream::trial::Rules;
 use ochreward_stream::wire::{Code, Entry, Fault, FromService, Health, PROTOCOL, ToService, next_piece};
 use ochreward_stream::{Action, Digest, Kind, Resource, Snapshot, Subscriber, SubscriberState, Version};
@@ -100,6 +100,24 @@
         self.subscriber.advance(self.now, self.health);
     }
 
+    /// Lets a number of samples pass, each with 100 answers of which so many are bad.
+    fn serve(&mut self, samples: usize, bad: u64) {
+        for _ in 0..samples {
+            self.health.answers += 100;
+            self.health.failed += bad;
+            self.advance_by(10_000);
+        }
+    }
+
+    /// Takes the steps and returns what they tell the service of versions that were given up: version and running one.
+    fn reverted(&mut self) -> Vec<(Version, Option<Version>)> {
+        let reverted = |step: Action| match step {
+            Action::Send(ToService::Reverted { version, running, .. }) => Some((version, running)),
+            _ => None,
+        };
+        self.subscriber.steps.drain(..).filter_map(reverted).collect()
+    }
+
     /// Offers a version and accepts all checks; returns the code of the NACK, or `None` for an ACK.
     fn offer(&mut self, of: &Snapshot) -> Option<Code> {
         self.nonce += 1;
@@ -230,16 +248,9 @@
 fn a_worse_version_is_rolled_back_and_refused_while_the_next_version_is_accepted() {
     let good = snapshot(version(1, 1), 1);
     let mut harness = Harness::new(Some(good.clone()));
-    let serve = |harness: &mut Harness, steps: usize, bad: u64| {
-        for _ in 0..steps {
-            harness.health.answers += 100;
-            harness.health.failed += bad;
-            harness.advance_by(10_000);
-        }
-    };
-    serve(&mut harness, 12, 1);
+    harness.serve(12, 1);
     assert_eq!(harness.offer(&snapshot(version(1, 2), 2)), None);
-    serve(&mut harness, 3, 60);
+    harness.serve(3, 60);
     let steps: Vec<Action> = harness.subscriber.steps.drain(..).collect();
     let to = steps
         .iter()
@@ -249,13 +260,65 @@
     assert_eq!(harness.subscriber.version(), Some(version(1, 1)));
     assert_eq!(harness.offer(&snapshot(version(1, 2), 2)), Some(Code::Refused));
     assert_eq!(harness.offer(&snapshot(version(1, 3), 3)), None);
-    serve(&mut harness, 12, 1);
+    harness.serve(12, 1);
     assert!(
         harness.subscriber.steps.iter().any(|s| matches!(s, Action::Promote(v, _) if *v == version(1, 3)))
     );
     assert_eq!(harness.subscriber.last_good_version(), Some(version(1, 3)));
 }
 
+fn withdrawal(of: Version) -> Withdrawal {
+    Withdrawal { version: of, faults: vec![Fault { key: "limits".into(), why: "is over".into() }] }
+}
+
+// Guards against a version on trial that the file forbids and that is promoted all the same once its trial has passed.
+#[test]
+fn trial_of_a_withdrawn_version_ends_and_the_last_good_one_runs() {
+    let (good, trial) = (version(1, 1), version(1, 2));
+    let mut harness = Harness::new(Some(snapshot(good, 1)));
+    assert_eq!(harness.offer(&snapshot(trial, 2)), None);
+    let candidates: Vec<Version> = harness.subscriber.candidates().iter().map(|c| c.version).collect();
+    assert_eq!(candidates, [trial, good]);
+    harness.subscriber.on_selected(Some(good), vec![withdrawal(trial)]);
+    assert_eq!((harness.subscriber.version(), harness.subscriber.on_trial()), (Some(good), false));
+    assert_eq!(harness.reverted(), [(trial, Some(good))]);
+    harness.serve(30, 1);
+    assert!(!harness.subscriber.steps.iter().any(|s| matches!(s, Action::Promote(..))));
+    assert_eq!(harness.subscriber.last_good_version(), Some(good));
+}
+
+// Guards against a rollback to a version that the file forbids: it counted as run, while something else did.
+#[test]
+fn withdrawn_rollback_target_is_reported_and_stays_a_candidate() {
+    let (good, trial) = (version(1, 1), version(1, 2));
+    let mut harness = Harness::new(Some(snapshot(good, 1)));
+    harness.serve(12, 1);
+    assert_eq!(harness.offer(&snapshot(trial, 2)), None);
+    harness.serve(3, 60);
+    assert_eq!(harness.reverted(), [(trial, Some(good))]);
+    harness.subscriber.on_selected(None, vec![withdrawal(good)]);
+    assert_eq!((harness.subscriber.version(), harness.subscriber.on_trial()), (None, false));
+    assert_eq!(harness.reverted(), [(good, None)]);
+    // A later file permits it again: it runs without a trial, and nothing is reported.
+    harness.subscriber.on_selected(Some(good), Vec::new());
+    assert_eq!((harness.subscriber.version(), harness.subscriber.on_trial()), (Some(good), false));
+    assert_eq!(harness.reverted(), []);
+}
+
+// Guards against a last good version that can't be used and to which a worse one is rolled back, with no settings beneath.
+#[test]
+fn without_settings_of_its_own_an_instance_forgets_a_withdrawn_version() {
+    let (good, next) = (version(1, 1), version(1, 2));
+    let mut harness = Harness::new(Some(snapshot(good, 1)));
+    harness.subscriber.set_has_base(false);
+    harness.subscriber.on_selected(None, vec![withdrawal(good)]);
+    assert!(harness.subscriber.candidates().is_empty());
+    harness.serve(12, 1);
+    assert_eq!(harness.offer(&snapshot(next, 2)), None);
+    harness.serve(30, 60);
+    assert_eq!(harness.subscriber.version(), Some(next), "there is nothing to roll back to");
+}
+
 #[test]
 fn without_a_version_to_roll_back_to_a_worse_version_is_kept() {
     let mut subscriber = Subscriber::new(
--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -119,6 +119,7 @@
     versions_refused: "Versions rejected.",
     versions_kept: "Versions stored as the last good one.",
     versions_returned: "Versions rolled back after a trial.",
+    versions_withdrawn: "Versions that gave way to the instance's own file: at a start, after a reload, or from another process.",
     version_epoch: "The epoch of the version in use; 0 if none is.",
     version_number: "The number of the version in use; 0 if none is.",
     peers_sent: "Packets sent to peers.",
--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -20,7 +20,7 @@
     /// Keys of the file are invalid.
     #[error(transparent)]
     Faulty(#[from] Faults),
-    /// Keys are invalid once the running version is applied over the file.
+    /// The file has no settings, and the running version can't be used over it.
     #[error(
         "under the version that runs, {}: correct the keys that are named, in the file or in the next version",
         fault_list(.0)
@@ -76,13 +76,15 @@
     /// Takes a new configuration into use; requests, counters and everything learned are kept.
     pub(super) fn adopt_config(&mut self, mut config: Config) -> Result<(), ReloadError> {
         config.check_replacement(&self.config)?;
-        self.overlay_running_version(&mut config)?;
+        let selection = self.select_over(&config)?;
         self.resolver.set_server(&mut self.poll, config.names).map_err(ReloadError::Names)?;
         let (serial, executors) = std::mem::take(&mut config.initial_list);
         self.config = config;
-        self.adopt_settings();
         self.update_own_file();
-        self.log_configuration(Origin::Reload);
+        match selection {
+            Some(selection) => self.apply_selection(selection, Origin::Reload),
+            None => self.adopt_settings(),
+        }
         if self.resolver.offer_list(self.now, ListOrigin::Configuration, serial, executors) {
             self.list_changed();
         } else {
--- a/src/node/versions.rs
+++ b/src/node/versions.rs
@@ -1,8 +1,9 @@
 //! Applies streamed configuration versions to a running dispatcher.
 //!
-//! A version is applied over the instance's own file, whichever of the two changed last: a SIGHUP rereads the file under
-//! the running version, and a version that is being checked when the file changes is checked again. A file that is invalid
-//! under the running version is refused like any other faulty file.
+//! A version is applied over the instance's own file, whichever of the two changed last, and the file's limits hold for
+//! it in any case: a version that they forbid gives way to the last good one, or else to the file alone. What comes into
+//! use without an offer is selected by [`Selection`], at a start, after a reload, from the other process of this
+//! dispatcher and after a trial alike. A version that is being checked when the file changes is checked again.
 
 use super::reload::ReloadError;
 use super::{Node, STREAM, VERSION_THREAD};
@@ -13,10 +14,9 @@
 use crate::front::mqtt;
 use crate::net::{Poll, PollEvent};
 use crate::versions::rules::{self, CheckContext, Usage};
-use crate::versions::{ConfigStream, StartOptions, StreamEvent, read};
+use crate::versions::{ConfigStream, OwnFile, Selection, StartOptions, StreamEvent};
 use ochreward_stream::Version;
 use ochreward_stream::wire::Code;
-use serde_json::Value;
 use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
@@ -68,7 +68,7 @@
     poll: &mut Poll,
     now: u64,
     config: &mut Config,
-    (stream_config, own_file): (&StreamConfig, Arc<Value>),
+    (stream_config, own_file): (&StreamConfig, Arc<OwnFile>),
     standby: bool,
     counters: &Rc<Counters>,
 ) -> io::Result<StreamStart> {
@@ -78,32 +78,32 @@
         name: &config.name,
         folder: config.folder.clone(),
         memory_bytes: config.parts.resources.memory,
-        has_base: !config.has_no_settings,
         seed: config.seed ^ u64::from(std::process::id()) << 32,
         standby,
     };
-    let (mut stream, stored) =
-        ConfigStream::new(poll, (STREAM, VERSION_THREAD), now, start, counters.clone())?;
+    let mut stream = ConfigStream::new(poll, (STREAM, VERSION_THREAD), now, start, counters.clone())?;
+    let selection = stream.select(&own_file);
+    stream.selected(poll, now, &selection);
     let mut started = StreamStart::default();
-    match stored.as_ref().map(|s| (s.version, read(Some(s), &own_file))) {
-        Some((version, Ok(effective))) => {
+    match (selection.version, selection.effective) {
+        (Some(version), Some(effective)) => {
             info!(instance = config.name, %version, "starting on the last good version");
             config.parts = effective.parts;
             started.bans = ids(effective.bans);
             started.brokers = effective.fronts;
         }
-        Some((version, Err(faults))) => {
-            let fault = faults.first().map(ToString::to_string).unwrap_or_default();
-            warn!(instance = config.name, %version, fault, "the last good version is invalid over the instance's own file and is not used");
-            stream.discard_stored_version(now);
-        }
-        None if config.has_no_settings => {
+        (_, None) => {
             warn!(
                 instance = config.name,
                 "no settings in the file or in a stored version: not ready until a version arrives"
             )
         }
-        None => info!(instance = config.name, "no version is stored: starting on the instance's own file"),
+        (None, Some(_)) => {
+            info!(
+                instance = config.name,
+                "no version is stored that can be used: starting on the instance's own file"
+            )
+        }
     }
     log_configuration_in_use(config, Origin::Start, stream.version());
     started.stream = Some(stream);
@@ -115,9 +115,9 @@
 }
 
 impl Node {
-    /// Returns the content of the instance's own file, which versions are applied over.
-    pub(super) fn own_file(config: &Config) -> Arc<Value> {
-        Arc::new(config.source().clone())
+    /// Returns the instance's own file, which versions are applied over.
+    pub(super) fn own_file(config: &Config) -> Arc<OwnFile> {
+        Arc::new(OwnFile { content: config.source().clone(), has_settings: !config.has_no_settings })
     }
 
     /// Returns what a version is checked against: the platform's file, the running settings and what is in use now.
@@ -132,8 +132,7 @@
                 + self.stations.as_ref().map_or(0, crate::front::stations::Front::connections),
             held_bytes: self.engine.held_bytes(),
         };
-        let platform =
-            if self.config.has_no_settings { None } else { VersionedConfig::read(self.config.source()).ok() };
+        let platform = self.stream.as_ref().and_then(|stream| stream.own_file().platform());
         CheckContext { platform, running: (!self.unconfigured).then(|| self.settings.clone()), usage }
     }
 
@@ -182,10 +181,7 @@
                             self.log_configuration(Origin::Version);
                         }
                     }
-                    StreamEvent::RollBack(effective) => {
-                        self.apply_version(*effective);
-                        self.log_configuration(Origin::Rollback);
-                    }
+                    StreamEvent::RollBack(selection) => self.apply_selection(*selection, Origin::Rollback),
                 }
             }
         }
@@ -216,39 +212,50 @@
         }
     }
 
-    /// Applies the running version to a reread file; the dispatcher itself is not changed yet.
-    pub(super) fn overlay_running_version(&self, config: &mut Config) -> Result<(), ReloadError> {
-        let Some(stream) = &self.stream else { return Ok(()) };
-        if stream.running().is_some() {
-            let effective = read(stream.running(), config.source()).map_err(ReloadError::Overlaid)?;
-            config.parts = effective.parts;
-        } else if config.has_no_settings && !self.unconfigured {
-            return Err(ReloadError::Bare);
+    /// Takes what was selected into use, and records it.
+    pub(super) fn apply_selection(&mut self, selection: Selection, origin: Origin) {
+        if let Some(stream) = &mut self.stream {
+            stream.selected(&mut self.poll, self.now, &selection);
+        }
+        match selection.effective {
+            Some(effective) => self.apply_version(*effective),
+            None => warn!(
+                instance = self.config.name,
+                "no settings in the file or in a usable version: what is in use stays until a version arrives"
+            ),
+        }
+        self.log_configuration(origin);
+    }
+
+    /// Selects what is to run over a reread file; the dispatcher itself is not changed yet. Returns `None` without a stream,
+    /// and as long as the instance waits for its first version.
+    pub(super) fn select_over(&self, config: &Config) -> Result<Option<Selection>, ReloadError> {
+        let Some(stream) = &self.stream else { return Ok(None) };
+        let selection = stream.select(&Node::own_file(config));
+        if selection.effective.is_some() {
+            return Ok(Some(selection));
+        }
+        match selection.withdrawn.into_iter().next() {
+            Some(withdrawal) => Err(ReloadError::Overlaid(withdrawal.faults)),
+            None if self.unconfigured => Ok(None),
+            None => Err(ReloadError::Bare),
         }
-        Ok(())
     }
 
     /// Passes the instance's own file to the stream after a reload.
     pub(super) fn update_own_file(&mut self) {
-        let Some(stream) = &mut self.stream else { return };
-        stream.set_own_file(Node::own_file(&self.config));
-        if !self.config.has_no_settings {
-            self.unconfigured = false;
-            self.update_accepting();
+        let own_file = Node::own_file(&self.config);
+        if let Some(stream) = &mut self.stream {
+            stream.set_own_file(own_file);
         }
     }
 
     /// Takes the version into use that the other process of this dispatcher runs, if that has changed.
     pub(super) fn follow_other_process_version(&mut self) {
-        let Some(running) = self.stream.as_mut().and_then(ConfigStream::follow) else { return };
-        match read(running.as_ref(), &Node::own_file(&self.config)) {
-            Ok(effective) => {
-                self.apply_version(*effective);
-                self.log_configuration(Origin::OtherProcess);
-            }
-            Err(faults) => {
-                warn!(fault = ?faults.first(), "the version that the other process runs can't be read here")
-            }
+        let Some(stream) = &mut self.stream else { return };
+        if stream.follow() {
+            let selection = stream.select(stream.own_file());
+            self.apply_selection(selection, Origin::OtherProcess);
         }
     }
 
--- a/src/versions/rules.rs
+++ b/src/versions/rules.rs
@@ -1,9 +1,10 @@
 //! Rules that a configuration version must keep: the platform's limits, and those for changes while requests are open.
 //!
 //! Given the platform's file, the running settings and what is in use, returns every rule that a version would violate.
-//! Does no I/O.
+//! The platform's limits hold whenever a version is in use, whichever of file and version changed last; the other rules
+//! are for a version that is newly applied. Does no I/O.
 
-use crate::api::Effect;
+use crate::api::{Class, Effect};
 use crate::config::{MAX_DRAIN_GRACE_US, Settings, VersionedConfig};
 use crate::discovery::ZoneAndKindNames;
 use ochreward_stream::wire::Fault;
@@ -52,14 +53,39 @@
     }
 }
 
-/// Returns the rules that the version would violate; none if it may run.
+/// Returns the rules that the version would violate; none if it may be applied now.
 pub fn violations(context: &CheckContext, new: &VersionedConfig) -> Vec<Fault> {
+    let mut faults = platform_violations(context.platform.as_ref(), new);
+    for fault in change_violations(context, new) {
+        if !faults.contains(&fault) {
+            faults.push(fault);
+        }
+    }
+    faults
+}
+
+/// Returns the platform's limits that the version would violate; none if it may be in use over this file. `platform` is
+/// the content of the platform's file; `None` if it leaves the settings to versions.
+pub fn platform_violations(platform: Option<&VersionedConfig>, new: &VersionedConfig) -> Vec<Fault> {
     let mut faults = Faults(Vec::new());
-    check_load_ration(&mut faults, context.platform.as_ref(), &new.settings);
-    check_drain(&mut faults, context.platform.as_ref(), &new.settings);
-    check_limits(&mut faults, context, new);
-    check_classes(&mut faults, context, &new.settings);
+    check_load_ration(&mut faults, platform, &new.settings);
+    check_drain(&mut faults, platform, &new.settings);
+    check_unique_names(&mut faults, &new.settings);
+    if let Some(platform) = platform {
+        check_resources(&mut faults, platform, new);
+        check_effects(&mut faults, &platform.settings, &new.settings);
+        check_vocabulary(&mut faults, &platform.settings.vocabulary, &new.settings.vocabulary);
+    }
+    faults.0
+}
+
+/// Returns the rules that the change from the running settings would violate.
+fn change_violations(context: &CheckContext, new: &VersionedConfig) -> Vec<Fault> {
+    let mut faults = Faults(Vec::new());
+    check_usage(&mut faults, &context.usage, new);
     if let Some(running) = &context.running {
+        check_effects(&mut faults, running, &new.settings);
+        check_classes_in_use(&mut faults, running, &context.usage.classes, &new.settings);
         check_vocabulary(&mut faults, &running.vocabulary, &new.settings.vocabulary);
     }
     faults.0
@@ -119,14 +145,16 @@
     faults.require(new.drain_grace <= max_us, "settings.rules.stop_sending_within_us", why);
 }
 
-/// Checks the limits against the platform's and against what is in use.
-fn check_limits(faults: &mut Faults, context: &CheckContext, new: &VersionedConfig) {
-    let (usage, limits) = (&context.usage, new.resources);
-    if let Some(platform) = &context.platform {
-        let given = platform.resources;
-        faults.require(limits.memory <= given.memory, "limits.memory_mb", "is over what the platform gives");
-        faults.require(limits.sockets <= given.sockets, "limits.sockets", "is over what the platform gives");
-    }
+/// Checks the limits against the platform's.
+fn check_resources(faults: &mut Faults, platform: &VersionedConfig, new: &VersionedConfig) {
+    let (given, limits) = (platform.resources, new.resources);
+    faults.require(limits.memory <= given.memory, "limits.memory_mb", "is over what the platform gives");
+    faults.require(limits.sockets <= given.sockets, "limits.sockets", "is over what the platform gives");
+}
+
+/// Checks the limits against what is in use.
+fn check_usage(faults: &mut Faults, usage: &Usage, new: &VersionedConfig) {
+    let limits = new.resources;
     let used = |count: usize| format!("is less than is in use now, which is {count}");
     faults.require(limits.sockets > usage.descriptors, "limits.sockets", used(usage.descriptors));
     // Request bodies may use an eighth of the memory.
@@ -135,43 +163,51 @@
     faults.require(max_open >= usage.requests, "settings.limits.max_open", used(usage.requests));
 }
 
-/// Checks that class names are unique, that classes keep their protection against repeats, and that none in use is removed.
-fn check_classes(faults: &mut Faults, context: &CheckContext, new: &Settings) {
-    let key = |name: &str, what: &str| format!("settings.lanes[{name}]{what}");
+/// Returns the key of a class, or of one of its members.
+fn class_key(name: &str, member: &str) -> String {
+    format!("settings.lanes[{name}]{member}")
+}
+
+/// Checks that class names are unique.
+fn check_unique_names(faults: &mut Faults, new: &Settings) {
     for (i, name) in new.classes.iter().enumerate() {
-        faults.require(!new.classes[..i].contains(name), key(name, ""), "is there twice");
-    }
-    let class_of = |settings: &Settings, name: &str| {
-        let place = settings.classes.iter().position(|n| n == name)?;
-        Some((settings.module.classes[place], settings.retired[place]))
-    };
-    let sources = context.platform.as_ref().map(|p| &p.settings).into_iter().chain(context.running.as_ref());
-    let mut made_repeatable = BTreeSet::new();
-    for settings in sources {
-        for (class, name) in settings.module.classes.iter().zip(&settings.classes) {
-            let new_effect = class_of(new, name).map(|(c, _)| c.effect);
-            if class.effect == Effect::AtMostOnce && new_effect.is_some_and(|e| e != Effect::AtMostOnce) {
-                made_repeatable.insert(name);
-            }
-        }
+        faults.require(!new.classes[..i].contains(name), class_key(name, ""), "is there twice");
     }
-    for name in made_repeatable {
-        faults.require(false, key(name, ".effect"), "would allow repeats of an at-most-once class");
+}
+
+/// Returns the class of that name in the settings.
+fn class_of<'a>(settings: &'a Settings, name: &str) -> Option<&'a Class> {
+    let index = settings.classes.iter().position(|n| n == name)?;
+    settings.module.classes.get(index)
+}
+
+/// Checks that the at-most-once classes of `given` stay so.
+fn check_effects(faults: &mut Faults, given: &Settings, new: &Settings) {
+    for (class, name) in given.module.classes.iter().zip(&given.classes) {
+        let is_repeatable = class_of(new, name).is_some_and(|c| c.effect != Effect::AtMostOnce);
+        faults.require(
+            class.effect != Effect::AtMostOnce || !is_repeatable,
+            class_key(name, ".effect"),
+            "would allow repeats of an at-most-once class",
+        );
     }
-    let Some(running) = &context.running else { return };
+}
+
+/// Checks that no class with open requests is removed or loses its key's window.
+fn check_classes_in_use(faults: &mut Faults, running: &Settings, in_use: &BTreeSet<String>, new: &Settings) {
     for ((class, name), retired) in running.module.classes.iter().zip(&running.classes).zip(&running.retired)
     {
-        if !context.usage.classes.contains(name) {
+        if !in_use.contains(name) {
             continue;
         }
         match class_of(new, name) {
             // A retired class takes no new requests, and keeps its place until its last request is answered.
-            None => faults.require(*retired, key(name, ""), "is in use; set retired = true first"),
-            Some((new_class, _)) if class.effect == Effect::Deduplicated => {
+            None => faults.require(*retired, class_key(name, ""), "is in use; set retired = true first"),
+            Some(new_class) if class.effect == Effect::Deduplicated => {
                 let keeps_window = new_class.effect == Effect::Deduplicated
                     && new_class.repeat_window >= class.repeat_window;
                 let why = "would lose its key's window while requests are under way";
-                faults.require(keeps_window, key(name, ".repeat_window_us"), why);
+                faults.require(keeps_window, class_key(name, ".repeat_window_us"), why);
             }
             Some(_) => {}
         }
--- a/src/versions/store_thread.rs
+++ b/src/versions/store_thread.rs
@@ -2,6 +2,7 @@
 //! rules, writing and syncing files. Jobs run one after the other; each result wakes the loop.
 
 use super::rules::{self, CheckContext};
+use super::selection::{OwnFile, Selection, select};
 use crate::config::version::{Effective, effective};
 use crate::net::{BackgroundThread, Poll};
 use ochreward_stream::last_good::VersionStore;
@@ -15,9 +16,11 @@
 /// A job for the thread.
 pub enum Job {
     /// Read a version over the instance's own file, check it against the rules, and store it as the one on trial.
-    Check(OfferId, Arc<Snapshot>, Arc<Value>, Box<CheckContext>),
+    Check(OfferId, Arc<Snapshot>, Arc<OwnFile>, Box<CheckContext>),
     /// Read the version to roll back to, and delete the one on trial.
-    RollBack(Option<Arc<Snapshot>>, Arc<Value>),
+    RollBack(Option<Arc<Snapshot>>, Arc<OwnFile>),
+    /// Delete the version on trial, if it is this one.
+    DiscardTrial(Version),
     /// Store the version on trial as the last good one.
     Promote(Version),
     /// Store the subscriber's memory.
@@ -30,9 +33,9 @@
 /// The result of a job.
 pub enum JobResult {
     /// The outcome of a check, with the own file that the version was read over.
-    Checked(OfferId, Arc<Snapshot>, Arc<Value>, CheckOutcome),
-    /// The configuration to roll back to.
-    RolledBack(Result<Box<Effective>, Vec<Fault>>),
+    Checked(OfferId, Arc<Snapshot>, Arc<OwnFile>, CheckOutcome),
+    /// The configuration to roll back to, with the own file that it was selected for.
+    RolledBack(Arc<OwnFile>, Box<Selection>),
     /// A file could not be written: what it holds, and why.
     WriteFailed(&'static str, io::Error),
 }
@@ -50,7 +53,7 @@
     let write_failed = |what, result: io::Result<()>| result.err().map(|e| JobResult::WriteFailed(what, e));
     match job {
         Job::Check(ticket, snapshot, own_file, context) => {
-            let checked = check(&snapshot, &own_file, &context).and_then(|effective| {
+            let checked = check(&snapshot, &own_file.content, &context).and_then(|effective| {
                 // Stored before it is used, so that the running version can be found again after a crash.
                 let written = files.map_or(Ok(()), |f| f.put_on_trial(&snapshot));
                 let write_error = |e: io::Error| {
@@ -62,11 +65,14 @@
             Some(JobResult::Checked(ticket, snapshot, own_file, checked))
         }
         Job::RollBack(snapshot, own_file) => {
-            let discarded = files.map_or(Ok(()), VersionStore::discard_trial);
-            if let Err(e) = discarded {
-                tracing::warn!(reason = %e, "the file of the version on trial could not be removed");
-            }
-            Some(JobResult::RolledBack(read(snapshot.as_deref(), &own_file)))
+            log_discarded(files.map_or(Ok(()), VersionStore::discard_trial));
+            let selection = select(snapshot.as_slice(), &own_file);
+            Some(JobResult::RolledBack(own_file, Box::new(selection)))
+        }
+        Job::DiscardTrial(version) => {
+            let matching = files.filter(|f| f.on_trial() == Some(version));
+            log_discarded(matching.map_or(Ok(()), VersionStore::discard_trial));
+            None
         }
         Job::Promote(_) => write_failed("the last good version", files.map_or(Ok(()), VersionStore::promote)),
         Job::SaveMemory(memory) => write_failed(
@@ -76,6 +82,12 @@
     }
 }
 
+fn log_discarded(result: io::Result<()>) {
+    if let Err(e) = result {
+        tracing::warn!(reason = %e, "the file of the version on trial could not be removed");
+    }
+}
+
 /// Reads a version over the instance's own file, or that file alone; returns the effective configuration.
 pub fn read(snapshot: Option<&Snapshot>, own_file: &Value) -> Result<Box<Effective>, Vec<Fault>> {
     let texts = snapshot.map(Snapshot::texts).unwrap_or_default();
@@ -90,3 +102,6 @@
     let violations = rules::violations(context, &effective.parts);
     if violations.is_empty() { Ok(effective) } else { Err((Code::Invalid, violations)) }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/versions/stream.rs
+++ b/src/versions/stream.rs
@@ -5,16 +5,16 @@
 //! each buffer, and the size of a version is bounded by the memory limit and [`MAX_VERSION_BYTES`].
 
 use super::rules::CheckContext;
+use super::selection::{OwnFile, Selection, select};
 use super::store_thread::{self, Job, JobResult, VersionThread};
 use crate::config::{Stream as StreamConfig, version::Effective};
 use crate::counters::{Counters, add, count};
 use crate::net::{Connection, Malformed, Poll, PollEvent, ProtocolHandler, Ring};
 use ochreward_stream::last_good::VersionStore;
-use ochreward_stream::subscriber::{Action, OfferId, Options, Subscriber, SubscriberState};
+use ochreward_stream::subscriber::{Action, OfferId, Options, Subscriber, SubscriberState, Withdrawal};
 use ochreward_stream::trial::{Rules, Verdict};
 use ochreward_stream::wire::{self, Code, Fault, FromService, Health, MAX_FRAME_BYTES};
 use ochreward_stream::{Snapshot, Version};
-use serde_json::Value;
 use std::collections::VecDeque;
 use std::io;
 use std::path::PathBuf;
@@ -55,8 +55,8 @@
     Check(OfferId, Arc<Snapshot>),
     /// Check a version against the rules as of now, take it into use, and report the result with `applied`.
     Apply(OfferId, Box<Effective>),
-    /// Roll back to this configuration without checking it.
-    RollBack(Box<Effective>),
+    /// Roll back to this configuration, and report it with `selected`.
+    RollBack(Box<Selection>),
 }
 
 /// The parameters of a new stream.
@@ -64,15 +64,13 @@
     /// The stream's section of the operator's file.
     pub config: &'a StreamConfig,
     /// The content of the instance's own file.
-    pub own_file: Arc<Value>,
+    pub own_file: Arc<OwnFile>,
     /// The instance's name.
     pub name: &'a str,
     /// The folder for stored state, if there is one.
     pub folder: Option<PathBuf>,
     /// The memory that the process may use, in bytes.
     pub memory_bytes: usize,
-    /// Whether the own file has settings, so that the instance can run without any version.
-    pub has_base: bool,
     /// The seed for random backoff.
     pub seed: u64,
     /// Whether another process of the instance has the stream: this one then follows its files, and connects once it ends.
@@ -97,21 +95,21 @@
     /// The buffer for received messages, kept for its capacity.
     received: Vec<FromService>,
     /// The current content of the instance's own file.
-    own_file: Arc<Value>,
+    own_file: Arc<OwnFile>,
     /// Actions for the caller, in order.
     pub events: Vec<StreamEvent>,
     counters: Rc<Counters>,
 }
 
 impl ConfigStream {
-    /// Reads the stored state and starts the thread; returns the stream and the stored version to run, if there is one.
+    /// Reads the stored state and starts the thread. The caller then has to `select` what to run.
     pub fn new(
         poll: &mut Poll,
         (owner, thread_owner): (u8, u8),
         now: u64,
         start: StartOptions,
         counters: Rc<Counters>,
-    ) -> io::Result<(ConfigStream, Option<Snapshot>)> {
+    ) -> io::Result<ConfigStream> {
         let config = start.config;
         // Several instances may share one operator's file, so each has its own subfolder.
         let configured = config.folder.as_ref().map(|f| f.join(start.name));
@@ -154,12 +152,12 @@
             silence: config.silence,
             trial: Rules { length: config.trial, margin: config.trial_margin, least: config.trial_least },
             most_bytes: ((start.memory_bytes / VERSION_MEMORY_DIVISOR) as u64).min(MAX_VERSION_BYTES),
-            has_base: start.has_base,
+            has_base: start.own_file.has_settings,
             seed: start.seed,
         };
         let running = loaded.snapshot.map(|(snapshot, _)| snapshot);
         let good = files.as_ref().and_then(|f| f.load().snapshot).map(|(s, _)| s);
-        let subscriber = Subscriber::new(options.clone(), now, memory, running.clone(), good);
+        let subscriber = Subscriber::new(options.clone(), now, memory, running, good);
         let thread = store_thread::start(poll, thread_owner, files.clone())?;
         let mut stream = ConfigStream {
             options,
@@ -179,7 +177,7 @@
         };
         stream.file_stamps = stream.read_file_stamps();
         stream.update_gauges();
-        Ok((stream, running))
+        Ok(stream)
     }
 
     /// Returns the running version.
@@ -187,16 +185,16 @@
         self.subscriber.version()
     }
 
-    /// Discards the stored version, which is invalid over the instance's own file: the stream continues as if there were
-    /// none.
-    pub fn discard_stored_version(&mut self, now: u64) {
-        let memory = SubscriberState {
-            highest: Version::default(),
-            content: None,
-            ..self.subscriber.memory().clone()
-        };
-        self.subscriber = Subscriber::new(self.options.clone(), now, memory, None, None);
+    /// Selects what is to run over this own file: the running version, the last good one, or the file alone.
+    pub fn select(&self, own_file: &OwnFile) -> Selection {
+        select(&self.subscriber.candidates(), own_file)
+    }
+
+    /// Records what was selected.
+    pub fn selected(&mut self, poll: &mut Poll, now: u64, selection: &Selection) {
+        self.subscriber.on_selected(selection.version, selection.withdrawn.clone());
         self.update_gauges();
+        self.run_steps(poll, now);
     }
 
     /// Returns when `advance` is next due.
@@ -286,10 +284,9 @@
                     self.subscriber.on_checked(ticket, Ok(()));
                 }
                 JobResult::Checked(ticket, _, _, Err(why)) => self.subscriber.on_checked(ticket, Err(why)),
-                JobResult::RolledBack(Ok(effective)) => self.events.push(StreamEvent::RollBack(effective)),
-                JobResult::RolledBack(Err(faults)) => {
-                    warn!(fault = ?faults.first(), "the version to roll back to can't be read; the running one stays")
-                }
+                // A SIGHUP has changed the own file meanwhile, and has selected the version to roll back to itself.
+                JobResult::RolledBack(own_file, _) if !Arc::ptr_eq(&own_file, &self.own_file) => {}
+                JobResult::RolledBack(_, selection) => self.events.push(StreamEvent::RollBack(selection)),
                 JobResult::WriteFailed(what, reason) => warn!(what, %reason, "could not be written to disk"),
             }
         }
@@ -300,14 +297,18 @@
         self.thread.submit(Job::Check(ticket, snapshot, self.own_file.clone(), Box::new(context)));
     }
 
-    /// Replaces the content of the instance's own file.
-    pub fn set_own_file(&mut self, own_file: Arc<Value>) {
+    /// Replaces the instance's own file.
+    pub fn set_own_file(&mut self, own_file: Arc<OwnFile>) {
+        self.subscriber.set_has_base(own_file.has_settings);
+        self.options.has_base = own_file.has_settings;
         self.own_file = own_file;
+        // The version that the other process runs may be permitted now.
+        self.file_stamps.clear();
     }
 
-    /// Returns the content of the running version.
-    pub fn running(&self) -> Option<&Snapshot> {
-        self.subscriber.running()
+    /// Returns the instance's own file.
+    pub fn own_file(&self) -> &Arc<OwnFile> {
+        &self.own_file
     }
 
     /// Records that a version was taken into use, or why it could not be.
@@ -386,6 +387,7 @@
                     self.thread.submit(Job::RollBack(to, self.own_file.clone()));
                 }
                 Action::StoreState(memory) => self.thread.submit(Job::SaveMemory(memory)),
+                Action::Withdrawn(withdrawal) => self.log_withdrawal(&withdrawal),
                 Action::Rejected(version, code, faults) => {
                     count(&self.counters.versions_refused);
                     let fault = faults.first().map(Fault::to_string).unwrap_or_default();
@@ -395,6 +397,18 @@
         }
     }
 
+    /// Logs and counts a version that gave way to the own file, and deletes it if it was on trial.
+    fn log_withdrawal(&self, withdrawal: &Withdrawal) {
+        count(&self.counters.versions_withdrawn);
+        let running = self.version().map_or_else(|| "none".to_string(), |v| v.to_string());
+        let (version, faults) = (withdrawal.version, withdrawal.faults.len());
+        let fault = withdrawal.faults.first().map(Fault::to_string).unwrap_or_default();
+        warn!(instance = self.options.instance, %version, running, faults, fault, "a version gives way to the instance's own file and is not used");
+        if !self.standby {
+            self.thread.submit(Job::DiscardTrial(version));
+        }
+    }
+
     // ---- Two processes of one instance ----
 
     /// Returns the modification times and sizes of the files that the process with the stream writes.
@@ -407,24 +421,23 @@
         ["trial", "good", "memory"].iter().map(stamp).collect()
     }
 
-    /// Returns the version that the other process runs, if that has changed while this one is on standby. The outer `None`
-    /// means that nothing has changed, the inner one that the other process runs its own file.
-    pub fn follow(&mut self) -> Option<Option<Snapshot>> {
-        let files = self.files.clone().filter(|_| self.standby)?;
+    /// Adopts the version that the other process runs while this one is on standby; returns whether it has changed. The
+    /// caller then has to `select` what to run.
+    pub fn follow(&mut self) -> bool {
+        let Some(files) = self.files.clone().filter(|_| self.standby) else { return false };
         let file_stamps = self.read_file_stamps();
         if file_stamps == self.file_stamps {
-            return None;
+            return false;
         }
         self.file_stamps = file_stamps;
         let running = files.load_running().snapshot.map(|(s, _)| s);
         if running.as_ref().map(|r| r.version) == self.version() {
-            return None;
+            return false;
         }
         let good = files.load().snapshot.map(|(s, _)| s);
         let memory = files.load_memory().unwrap_or_else(|_| self.subscriber.memory().clone());
-        self.subscriber.adopt(running.clone(), good, memory);
-        self.update_gauges();
-        Some(running)
+        self.subscriber.adopt(running, good, memory);
+        true
     }
 
     /// Takes the stream over after the other process has ended. A version that was on trial starts its trial again.
@@ -442,7 +455,6 @@
         // This process runs the version it last followed. The files may be newer, by at most one reading interval; a newer
         // version is not used here, as it does not run here yet.
         let running = running.filter(|r| Some(r.version) == self.version());
-        let good = good.filter(|_| running.is_some());
         self.subscriber = Subscriber::new(self.options.clone(), now, memory, running, good);
         self.update_gauges();
     }
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod broker;
+mod configurations;
 mod control_kit;
 mod crossings;
 mod deployments;
