Control service: a version that an instance runs again no longer counts as refused

What operators saw: an instance that gave a version up for its own file, and runs it again since the file permits it, stayed 'refused' in 'control status', while it ran the version.

Cause: crates/control/src/service.rs recorded an ack only for an answer to an offer, or for a hello whose running version differs from the last ack (hello, 'unrecorded'); the version was acked before it was given up, and a beat only set 'running'.

Change: a beat or a hello that names a version as running which is recorded as refused is recorded as an ack.

Evidence: running_version_gives_way_to_a_reloaded_file_and_returns_with_it failed without it ('never: the service reports the version as current', 30 s), and passes with it.

Why it works: the record takes the refusal away (apply), and a restarted service finds it in its log.

--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -324,7 +324,11 @@
             ToService::Hello(_) => return Err(StreamError::SecondHello),
             ToService::Heartbeat { running, health } => {
                 known.health = health;
-                if running != known.running {
+                let refused_running = running.filter(|version| known.refused.contains_key(version));
+                if let Some(version) = refused_running {
+                    // It gave the version up for its own file, which permits it again.
+                    self.record_answer(now, name, version, Answer::Acked);
+                } else if running != known.running {
                     known.running = running;
                     self.notify_instance(&name);
                 }
@@ -417,8 +421,9 @@
             self.actions.push(Action::Close(old));
         }
         let known = self.fleet.entry(name.clone()).or_default();
-        let (labels_changed, unrecorded) =
-            (known.view.labels != hello.labels || known.heard_ms == 0, hello.running != known.acked);
+        let labels_changed = known.view.labels != hello.labels || known.heard_ms == 0;
+        let refused_running = hello.running.is_some_and(|version| known.refused.contains_key(&version));
+        let unrecorded = refused_running || hello.running != known.acked;
         known.view = InstanceView { labels: hello.labels.clone(), connected: true, last_heard: now.us };
         (known.heard_ms, known.running) = (now.unix_ms, hello.running);
         let unrecorded_refusals: Vec<Version> =
--- a/tests/sockets/configurations.rs
+++ b/tests/sockets/configurations.rs
@@ -175,6 +175,9 @@
     // The file permits the last good version again, so it runs again, and the service no longer reports a refusal.
     reload(&program, &config_with_effect(&fixture, "idempotent"));
     assert_eq!(counter(&program, "version_number"), 1);
+    wait_for("the service reports the version as current", || {
+        (control.status()["instances"][0]["standing"] == "current").then_some(())
+    });
     fixture.serve_one(&mut client, 2);
 }
 
