Core: an open request keeps the class that it came with

A keyed request that was open when a configuration with a longer window, or with another effect, came into use was sent again after the window that its workers know: it could run twice. docs/operators/configuration.md promises that requests keep the class they came with.

Cause: Engine::repeat_send_deadline and Engine::answer (src/core/mod.rs) looked the class up by its index in the settings of that moment; the decision module keeps a copy with the request. An offered version can't shrink a window in use, but a rollback, a withdrawal or a new file can change it in any direction.

Change: a tracked request holds its class as of its submission.

Evidence: open_request_keeps_the_class_that_it_came_with drives the engine with a passed clock; without the change 0 attempts were recalled at 96% of the window, 1 is wanted.

Why it works: configure no longer reaches open requests; the index serves for new ones alone.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -152,6 +152,8 @@
 struct TrackedRequest {
     ticket: Ticket,
     job: Rc<RequestSpec>,
+    /// Its class as of the submission, which later settings do not change; `None` if the index named none.
+    class: Option<Class>,
     deadline: Micros,
     /// The final answer has been given, or is no longer needed.
     answered: bool,
@@ -384,8 +386,10 @@
         self.tickets.insert(ticket, id);
         self.held_bytes += job.body.len();
         let deadline = now.saturating_add(job.time_left);
+        let class = self.classes.get(job.class).copied();
         let (job, attempts) = (Rc::new(job), Vec::new());
-        let request = TrackedRequest { ticket, job, deadline, answered: false, max_attempts, attempts };
+        let request =
+            TrackedRequest { ticket, job, class, deadline, answered: false, max_attempts, attempts };
         self.requests.insert(id, request);
         id
     }
@@ -670,16 +674,14 @@
     /// Returns the latest time at which the attempt just started may be sent, if an earlier one may have run.
     fn repeat_send_deadline(&self, id: RequestId, now: Micros) -> Option<Micros> {
         let request = self.requests.get(&id)?;
-        let class = self.classes.get(request.job.class)?;
-        repeats::send_deadline(class, request.job.prior_delivery, &request.attempts, now)
+        repeats::send_deadline(request.class.as_ref()?, request.job.prior_delivery, &request.attempts, now)
     }
 
     /// Gives the final answer, unless it has been given or is no longer needed.
     fn answer(&mut self, id: RequestId, answer: FinalAnswer) {
         let Some(request) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
         request.answered = true;
-        let class = self.classes.get(request.job.class);
-        let may_have_run = class.is_some_and(|class| {
+        let may_have_run = request.class.as_ref().is_some_and(|class| {
             repeats::retry_may_run_twice(class, request.job.prior_delivery, &request.attempts)
         });
         let answer = match answer {
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -5,8 +5,8 @@
 
 const SECOND: Micros = 1_000_000;
 
-/// Returns an engine with one worker and three classes, one per [`Effect`].
-fn engine() -> Engine {
+/// Returns settings with three classes, one per [`Effect`].
+fn settings() -> Settings {
     let class = |effect| Class {
         latency_target: SECOND,
         deadline: 4 * SECOND,
@@ -16,7 +16,7 @@
         credit: 1.0,
         late_worth: 0.0,
     };
-    let settings = Settings {
+    Settings {
         dispatcher_count: 1,
         own_index: 0,
         own_zone: 0,
@@ -43,11 +43,18 @@
         fetch_price: 0.0,
         memory_price: 0.0,
         list_on_request: false,
-    };
+    }
+}
+
+fn limits() -> EngineLimits {
     let (attempts, load_wait, held_bytes) = (3, SECOND, 1000);
     let (held_requests, retry_after, send_lag) = (10, SECOND, SECOND / 4);
-    let bounds = EngineLimits { attempts, load_wait, held_bytes, held_requests, retry_after, send_lag };
-    let mut engine = Engine::new(&settings, 1, 0, bounds, Rc::default());
+    EngineLimits { attempts, load_wait, held_bytes, held_requests, retry_after, send_lag }
+}
+
+/// Returns an engine with one worker and three classes, one per [`Effect`].
+fn engine() -> Engine {
+    let mut engine = Engine::new(&settings(), 1, 0, limits(), Rc::default());
     let (zone, kind, cell, ready_at) = (0, 0, 0, None);
     let standing = crate::api::WorkerStatus::Healthy;
     engine.set_workers(
@@ -298,3 +305,19 @@
         assert_eq!(recall_count(&engine.commands.drain(..).collect::<Vec<_>>()), recalled, "{first:?}");
     }
 }
+
+/// Guards against a keyed request whose window grows, or ends, with a configuration that comes into use while it is open.
+#[test]
+fn open_request_keeps_the_class_that_it_came_with() {
+    for (effect, window) in [(Effect::Deduplicated, 20 * SECOND), (Effect::Idempotent, 2 * SECOND)] {
+        let mut engine = engine();
+        submit(&mut engine, 1, 1, None, 0);
+        let mut settings = settings();
+        (settings.classes[1].effect, settings.classes[1].repeat_window) = (effect, window);
+        engine.configure(&settings, &[], limits());
+        assert!(sends_attempt(&end_attempt(&mut engine, 20, 0, Outcome::Error)), "{effect:?}");
+        engine.advance(10 + 2 * SECOND * 96 / 100);
+        let commands: Vec<Command> = engine.commands.drain(..).collect();
+        assert_eq!(recall_count(&commands), 1, "{effect:?}: the repeat is not sent after the window");
+    }
+}
