Versions: the end of a trial keeps or deletes its own version, not the next one's

What operators would see: a version that has not stood its trial is started on as the last good one, after a rollback too, or a version on trial that is never kept.

Cause: Job::Promote in src/versions/store_thread.rs renamed whatever the file 'trial' held, and Job::RollBack deleted it; the check of the next version replaces that file as soon as it is checked, which may be before the trial of the one before ends.

Change: both jobs name their version. A version whose file was replaced is written as the last good one from memory (VersionStore::store_good).

Why it works: what 'trial' holds is compared before it is renamed or deleted, and the thread runs one job at a time.

--- a/crates/stream/src/last_good.rs
+++ b/crates/stream/src/last_good.rs
@@ -197,6 +197,19 @@
     /// Makes the version on trial the last good one, and the last good one the previous one. A crash between any two
     /// steps leaves a usable version.
     pub fn promote(&self) -> io::Result<()> {
+        self.keep_previous_good()?;
+        fs::rename(self.path(TRIAL), self.path(GOOD))?;
+        sync_folder(&self.folder)
+    }
+
+    /// Stores a version that has passed its trial as the last good one, when the next version is already the one on trial.
+    pub fn store_good(&self, snapshot: &Snapshot) -> io::Result<()> {
+        self.keep_previous_good()?;
+        self.write(GOOD, snapshot)
+    }
+
+    /// Makes a copy of the last good version the previous one.
+    fn keep_previous_good(&self) -> io::Result<()> {
         let temporary = self.path("good.prev.part");
         match fs::remove_file(&temporary) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
@@ -207,8 +220,7 @@
             fs::hard_link(self.path(GOOD), &temporary)?;
             fs::rename(temporary, self.path(PREVIOUS_GOOD))?;
         }
-        fs::rename(self.path(TRIAL), self.path(GOOD))?;
-        sync_folder(&self.folder)
+        Ok(())
     }
 
     /// Deletes the version on trial, after it was rolled back.
--- a/crates/stream/src/subscriber.rs
+++ b/crates/stream/src/subscriber.rs
@@ -118,8 +118,8 @@
     Check(OfferId, Arc<Snapshot>),
     /// Apply a version that was checked, and report the result with `applied`.
     Apply(OfferId, Arc<Snapshot>),
-    /// Promote the version on trial to the last good one.
-    Promote(Version, Verdict),
+    /// Promote a version that was on trial to the last good one.
+    Promote(Arc<Snapshot>, Verdict),
     /// Roll back from the given version to the last good one, or with `None` to the instance's own file.
     RollBack(Option<Arc<Snapshot>>, Version, Verdict),
     /// Store the memory.
@@ -545,8 +545,8 @@
         let worse = matches!(verdict, Verdict::Worse { .. });
         // Without a version or a file to roll back to, a worse version is better than none.
         if !worse || (self.last_good.is_none() && !self.options.has_base) {
-            self.last_good = Some(running);
-            return self.steps.push_back(Action::Promote(version, verdict));
+            self.last_good = Some(running.clone());
+            return self.steps.push_back(Action::Promote(running, verdict));
         }
         self.running = self.last_good.clone();
         self.memory.refused.push_back(version);
--- a/crates/stream/tests/subscriber.rs
+++ b/crates/stream/tests/subscriber.rs
@@ -262,7 +262,11 @@
     assert_eq!(harness.offer(&snapshot(version(1, 3), 3)), None);
     harness.serve(12, 1);
     assert!(
-        harness.subscriber.steps.iter().any(|s| matches!(s, Action::Promote(v, _) if *v == version(1, 3)))
+        harness
+            .subscriber
+            .steps
+            .iter()
+            .any(|s| matches!(s, Action::Promote(v, _) if v.version == version(1, 3)))
     );
     assert_eq!(harness.subscriber.last_good_version(), Some(version(1, 3)));
 }
--- a/src/versions/store_thread.rs
+++ b/src/versions/store_thread.rs
@@ -18,11 +18,18 @@
     /// Read a version over the instance's own file, check it against the rules, and store it as the one on trial.
     Check(OfferId, Arc<Snapshot>, Arc<OwnFile>, Box<CheckContext>),
     /// Read the version to roll back to, and delete the one on trial.
-    RollBack(Option<Arc<Snapshot>>, Arc<OwnFile>),
+    RollBack {
+        /// The version to roll back to; `None` for the own file.
+        to: Option<Arc<Snapshot>>,
+        /// The version on trial.
+        from: Version,
+        /// The instance's own file.
+        own_file: Arc<OwnFile>,
+    },
     /// Delete the version on trial, if it is this one.
     DiscardTrial(Version),
-    /// Store the version on trial as the last good one.
-    Promote(Version),
+    /// Store a version that has passed its trial as the last good one.
+    Promote(Arc<Snapshot>),
     /// Store the subscriber's memory.
     SaveMemory(SubscriberState),
 }
@@ -64,17 +71,18 @@
             });
             Some(JobResult::Checked(ticket, snapshot, own_file, checked))
         }
-        Job::RollBack(snapshot, own_file) => {
-            log_discarded(files.map_or(Ok(()), VersionStore::discard_trial));
-            let selection = select(snapshot.as_slice(), &own_file);
+        Job::RollBack { to, from, own_file } => {
+            discard_trial(files, from);
+            let selection = select(to.as_slice(), &own_file);
             Some(JobResult::RolledBack(own_file, Box::new(selection)))
         }
         Job::DiscardTrial(version) => {
-            let matching = files.filter(|f| f.on_trial() == Some(version));
-            log_discarded(matching.map_or(Ok(()), VersionStore::discard_trial));
+            discard_trial(files, version);
             None
         }
-        Job::Promote(_) => write_failed("the last good version", files.map_or(Ok(()), VersionStore::promote)),
+        Job::Promote(snapshot) => {
+            write_failed("the last good version", files.map_or(Ok(()), |files| promote(files, &snapshot)))
+        }
         Job::SaveMemory(memory) => write_failed(
             "what is remembered of the service",
             files.map_or(Ok(()), |f| f.store_memory(&memory)),
@@ -82,8 +90,15 @@
     }
 }
 
-fn log_discarded(result: io::Result<()>) {
-    if let Err(e) = result {
+/// Stores a version as the last good one. The next version may already be the one on trial, and stays so.
+fn promote(files: &VersionStore, snapshot: &Snapshot) -> io::Result<()> {
+    if files.on_trial() == Some(snapshot.version) { files.promote() } else { files.store_good(snapshot) }
+}
+
+/// Deletes the file of the version on trial, if it is this one.
+fn discard_trial(files: Option<&VersionStore>, version: Version) {
+    let files = files.filter(|files| files.on_trial() == Some(version));
+    if let Some(Err(e)) = files.map(VersionStore::discard_trial) {
         tracing::warn!(reason = %e, "the file of the version on trial could not be removed");
     }
 }
--- a/src/versions/stream.rs
+++ b/src/versions/stream.rs
@@ -373,18 +373,19 @@
                         }
                     }
                 }
-                Action::Promote(version, verdict) => {
+                Action::Promote(snapshot, verdict) => {
+                    let version = snapshot.version;
                     let untested = verdict == Verdict::Untested;
                     info!(instance = self.options.instance, %version, untested, "the version on trial is kept as the last good one");
                     count(&self.counters.versions_kept);
-                    self.thread.submit(Job::Promote(version));
+                    self.thread.submit(Job::Promote(snapshot));
                 }
                 Action::RollBack(to, from, verdict) => {
                     let running = self.version().map_or_else(|| "none".to_string(), |v| v.to_string());
                     warn!(instance = self.options.instance, %from, running, ?verdict, "the version on trial is rolled back");
                     count(&self.counters.versions_returned);
                     self.update_gauges();
-                    self.thread.submit(Job::RollBack(to, self.own_file.clone()));
+                    self.thread.submit(Job::RollBack { to, from, own_file: self.own_file.clone() });
                 }
                 Action::StoreState(memory) => self.thread.submit(Job::SaveMemory(memory)),
                 Action::Withdrawn(withdrawal) => self.log_withdrawal(&withdrawal),
