--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -84,6 +84,7 @@
     mqtt_connects: "Connections started to the MQTT broker.",
     mqtt_messages: "MQTT messages received.",
     mqtt_duplicates: "MQTT messages that had already been answered.",
+    mqtt_while_draining: "MQTT messages that arrived while their broker was being drained.",
     mqtt_answers: "Final answers published over MQTT.",
     mqtt_acknowledged: "MQTT messages acknowledged.",
     mqtt_malformed: "MQTT connections closed for malformed input.",
--- a/src/front/mqtt/front.rs
+++ b/src/front/mqtt/front.rs
@@ -137,7 +137,16 @@
 
     /// Stops taking requests; those already taken are still answered.
     pub fn stop(&mut self) {
-        self.stopping = true;
+        if !std::mem::replace(&mut self.stopping, true) {
+            self.log_transition("a broker is being drained");
+        }
+    }
+
+    fn log_transition(&self, transition: &'static str) {
+        let (broker, client) = (self.options.broker, self.options.client_id.as_str());
+        let open = self.records.messages.len();
+        let unacknowledged = self.session.as_ref().map(|s| s.unacknowledged.len());
+        tracing::info!(%broker, client, open, ?unacknowledged, "{transition}");
     }
 
     /// Returns whether the broker has acknowledged the answer to every request that the core was given.
@@ -147,6 +156,7 @@
 
     /// Disconnects from the broker, which keeps the session.
     pub fn leave(&mut self, poll: &Poll) {
+        self.log_transition("disconnected from a broker");
         if let Some(session) = &mut self.session {
             let _ = session.link.io.queue(&packets::disconnect(ReasonCode::Success));
             let _ = session.link.flush(poll);
@@ -331,6 +341,7 @@
             }
         }
         if self.stopping {
+            count(&self.counters.mqtt_while_draining);
             return Ok(());
         }
         count(&self.counters.mqtt_messages);
