Broker's front: one that is wanted again while it drains serves again

'control status' had the version as current.

Cause: Front::stop set 'stopping', and nothing took it back (src/front/mqtt/front.rs); Fronts::reconcile kept a front whose options were configured again as the front of that broker (src/front/mqtt/set.rs); handle_publish dropped what arrived, unacknowledged, so that it counted against the receive maximum for as long as the connection stood.

Change: a front is Serving or Draining, and reconcile resumes one that is configured again, unless the process is stopping. Messages that arrive while draining are kept aside, bounded by the receive maximum, and taken first; they were never run, so they needn't count as repeats. A redelivery of a request that is open or answered is still joined or acknowledged. Logs and the counters mqtt_resumed and mqtt_while_draining tell it; a configured broker that has to wait for its session is told in the log.

Why it works: whether a front serves follows from the configured brokers at each reconcile, in both directions; what came in between is not lost, since it stays with the connection on which it is unacknowledged.

--- a/src/counters/mod.rs
+++ b/src/counters/mod.rs
@@ -85,6 +85,7 @@
     mqtt_messages: "MQTT messages received.",
     mqtt_duplicates: "MQTT messages that had already been answered.",
     mqtt_while_draining: "MQTT messages that arrived while their broker was being drained.",
+    mqtt_resumed: "Brokers configured again while they were being drained.",
     mqtt_answers: "Final answers published over MQTT.",
     mqtt_acknowledged: "MQTT messages acknowledged.",
     mqtt_malformed: "MQTT connections closed for malformed input.",
--- a/src/front/mqtt/front.rs
+++ b/src/front/mqtt/front.rs
@@ -89,6 +89,9 @@
     record_lookups: Vec<(u16, i64)>,
     /// Packet ids of messages received and not acknowledged.
     unacknowledged: BTreeSet<u16>,
+    /// Messages received while draining, in order, until the broker is configured again. They are among the unacknowledged
+    /// ones, so that the receive maximum bounds them; the broker delivers them again on its next connection.
+    deferred: VecDeque<Publish>,
     /// Answers published and not acknowledged.
     unacknowledged_answers: usize,
     /// Packet ids of sent packets that await a response.
@@ -96,6 +99,15 @@
     next_id: u16,
 }
 
+/// Whether the front takes requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// It takes requests.
+    Serving,
+    /// It takes none, and publishes the answers to those already taken. It may serve again.
+    Draining,
+}
+
 /// The front to one broker.
 pub struct Front {
     id: u8,
@@ -105,7 +117,7 @@
     connect_at: u64,
     backoff: u64,
     retry_at: Option<u64>,
-    stopping: bool,
+    state: State,
     packets: Vec<Packet>,
     counters: Rc<Counters>,
     /// Requests from clients, in order of arrival.
@@ -123,7 +135,7 @@
             connect_at: 0,
             backoff: BACKOFF_MIN_US,
             retry_at: None,
-            stopping: false,
+            state: State::Serving,
             packets: Vec::new(),
             counters,
             intake: Vec::new(),
@@ -136,12 +148,20 @@
     }
 
     /// Stops taking requests; those already taken are still answered.
-    pub fn stop(&mut self) {
-        if !std::mem::replace(&mut self.stopping, true) {
+    pub fn drain(&mut self) {
+        if std::mem::replace(&mut self.state, State::Draining) == State::Serving {
             self.log_transition("a broker is being drained");
         }
     }
 
+    /// Takes requests again, first those that arrived while draining.
+    pub fn resume(&mut self) {
+        if std::mem::replace(&mut self.state, State::Serving) == State::Draining {
+            count(&self.counters.mqtt_resumed);
+            self.log_transition("a broker that was being drained is served again");
+        }
+    }
+
     fn log_transition(&self, transition: &'static str) {
         let (broker, client) = (self.options.broker, self.options.client_id.as_str());
         let open = self.records.messages.len();
@@ -190,6 +210,7 @@
             pings: VecDeque::new(),
             record_lookups: Vec::new(),
             unacknowledged: BTreeSet::new(),
+            deferred: VecDeque::new(),
             unacknowledged_answers: 0,
             used_ids: BTreeSet::new(),
             next_id: 1,
@@ -340,10 +361,31 @@
                 return Err(Malformed("more MQTT messages than may be unacknowledged"));
             }
         }
-        if self.stopping {
-            count(&self.counters.mqtt_while_draining);
+        if self.state == State::Draining && !self.is_known(&publish) {
+            self.defer(publish);
             return Ok(());
         }
+        self.take_message(now, unix_ms, publish)
+    }
+
+    /// Returns whether the request of a message is open, or was answered.
+    fn is_known(&self, publish: &Publish) -> bool {
+        let call = publish.properties.user.iter().rev().find(|(name, _)| name == "call");
+        let call: Arc<str> = call.map_or("", |(_, call)| call.as_str()).into();
+        let key = MessageKey::of(&call, publish.properties.response_topic.as_deref().unwrap_or_default());
+        self.records.open(&key).is_some() || self.records.answered(&key)
+    }
+
+    /// Keeps a message that arrived while draining. One of QoS 0 is dropped, since nothing bounds their number.
+    fn defer(&mut self, publish: Publish) {
+        count(&self.counters.mqtt_while_draining);
+        if let Some(session) = self.session.as_mut().filter(|_| publish.packet_id > 0) {
+            session.deferred.push_back(publish);
+        }
+    }
+
+    /// Takes a message as a request, or as a repeat of one.
+    fn take_message(&mut self, now: u64, unix_ms: u64, publish: Publish) -> Result<(), Malformed> {
         count(&self.counters.mqtt_messages);
         let fields: Fields = publish.properties.user.iter().cloned().collect();
         let call: Arc<str> = fields.get("call").map_or("", String::as_str).into();
@@ -408,6 +450,17 @@
         Ok(())
     }
 
+    /// Takes the messages that arrived while draining, once the front serves again.
+    fn take_deferred(&mut self, now: u64, unix_ms: u64) {
+        while self.state == State::Serving
+            && let Some(publish) = self.session.as_mut().and_then(|s| s.deferred.pop_front())
+        {
+            if let Err(malformed) = self.take_message(now, unix_ms, publish) {
+                return self.drop_session(Closed::Malformed(malformed.0));
+            }
+        }
+    }
+
     /// Acknowledges a message that can't be answered, with reason Payload format invalid.
     fn reject(&mut self, now: u64, id: u16) -> Result<(), Malformed> {
         let Some(session) = self.session.as_mut().filter(|_| id > 0) else { return Ok(()) };
@@ -592,8 +645,9 @@
         }
     }
 
-    /// Connects, sends keep-alive pings, drops a connection whose broker does not respond, and retries rejected answers.
-    pub fn advance(&mut self, poll: &mut Poll, now: u64) {
+    /// Connects, takes deferred messages, sends keep-alive pings, drops a connection whose broker does not respond, and retries rejected answers.
+    pub fn advance(&mut self, poll: &mut Poll, now: u64, unix_ms: u64) {
+        self.take_deferred(now, unix_ms);
         let Some(session) = &mut self.session else {
             if now >= self.connect_at {
                 self.connect(poll, now);
@@ -619,6 +673,9 @@
     /// Returns when `advance` next has work to do.
     pub fn due(&self) -> u64 {
         let Some(session) = &self.session else { return self.connect_at };
+        if self.state == State::Serving && !session.deferred.is_empty() {
+            return 0;
+        }
         let ping_due = match session.keep_alive(&self.options) {
             0 => u64::MAX,
             keep_alive => session.last_sent + keep_alive / 2,
--- a/src/front/mqtt/set.rs
+++ b/src/front/mqtt/set.rs
@@ -2,8 +2,9 @@
 //! brokers is bounded.
 //!
 //! A front that is no longer configured is drained: it takes no new requests, publishes all outstanding answers and
-//! disconnects. A broker's session belongs to one connection at a time, so a front with other options for the same
-//! session starts only after the old one has disconnected.
+//! disconnects. If it is configured again before that, it serves again. A broker's session belongs to one connection at
+//! a time, so a front with other options for the same session starts only after the old one has disconnected. A front is
+//! drained for as long as its broker does not acknowledge all answers.
 
 use super::front::Front;
 use super::options::Options;
@@ -37,6 +38,17 @@
         brokers.truncate(MAX_BROKERS);
         self.configured = brokers;
         self.reconcile(poll);
+        self.log_waiting();
+    }
+
+    /// Logs which configured brokers have no front yet.
+    fn log_waiting(&self) {
+        for options in &self.configured {
+            if !self.slots.iter().flatten().any(|front| front.options() == options) {
+                let (broker, client) = (options.broker, options.client_id.as_str());
+                tracing::info!(%broker, client, "a configured broker waits until others have been drained");
+            }
+        }
     }
 
     /// Reconciles the fronts with the configured brokers, as far as possible now.
@@ -44,9 +56,12 @@
         for slot in &mut self.slots {
             let Some(front) = slot else { continue };
             if self.configured.contains(front.options()) {
+                if !self.stopping {
+                    front.resume();
+                }
                 continue;
             }
-            front.stop();
+            front.drain();
             if front.settled() {
                 front.leave(poll);
                 *slot = None;
@@ -115,8 +130,8 @@
     }
 
     /// Maintains the connections and the fronts that are being drained.
-    pub fn advance(&mut self, poll: &mut Poll, now: u64) {
-        self.slots.iter_mut().flatten().for_each(|f| f.advance(poll, now));
+    pub fn advance(&mut self, poll: &mut Poll, now: u64, unix_ms: u64) {
+        self.slots.iter_mut().flatten().for_each(|f| f.advance(poll, now, unix_ms));
         self.reconcile(poll);
     }
 
@@ -125,10 +140,10 @@
         self.slots.iter().flatten().map(Front::due).min().unwrap_or(u64::MAX)
     }
 
-    /// Stops taking requests; those already taken are still answered.
+    /// Stops taking requests for good, since the process is about to exit; those already taken are still answered.
     pub fn stop(&mut self) {
         self.stopping = true;
-        self.slots.iter_mut().flatten().for_each(Front::stop);
+        self.slots.iter_mut().flatten().for_each(Front::drain);
     }
 
     /// Returns whether the broker has acknowledged the answer to every request that the core was given.
--- a/src/node.rs
+++ b/src/node.rs
@@ -305,7 +305,7 @@
             self.advance_overload();
             self.advance_zones();
             self.update_budget();
-            self.mqtt.advance(&mut self.poll, self.now);
+            self.mqtt.advance(&mut self.poll, self.now, self.clock.unix_ms(self.now));
             self.advance_stream();
             if let Some(front) = &mut self.stations {
                 front.advance(&mut self.poll, self.now);
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod broker;
+mod brokers;
 mod configurations;
 mod control_kit;
 mod crossings;
--- a/tests/sockets/mqtt.rs
+++ b/tests/sockets/mqtt.rs
@@ -39,7 +39,7 @@
 }
 
 /// Returns a trigger that was sent `age_ms` ago.
-fn trigger(class: &str, number: u64, age_ms: u64) -> Message {
+pub fn trigger(class: &str, number: u64, age_ms: u64) -> Message {
     let id = format!("{number:016x}");
     let mut user = fields(class, &id, LONG_TTL_MS);
     user.insert("sent".to_string(), (now_ms() - age_ms).to_string());
@@ -53,7 +53,7 @@
     }
 }
 
-fn status(answer: &Message) -> (&str, &[u8]) {
+pub fn status(answer: &Message) -> (&str, &[u8]) {
     (&answer.user["status"], &answer.payload)
 }
 
