Handover: brokers that change while a successor runs are connected if it dies

What callers would see: triggers of a broker that a version names during an upgrade which is then given up are never taken.

Cause: connect_brokers does nothing while another process of the dispatcher runs, and was called again for PredecessorGone alone, not for SuccessorGone (src/node/handover.rs).

Change: it is called for both.

Evidence: brokers_that_change_during_an_upgrade_that_is_given_up_are_connected failed before ('no subscription', 30 s) and passes now.

Why it works: both ends of the overlap reconcile the fronts with the configured brokers.

--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -35,6 +35,8 @@
                 warn!(instance = self.config.name, "the successor process ended without taking over");
                 self.reload_bans();
                 self.apply_settings(&[]);
+                // A version that came meanwhile may have changed them.
+                self.connect_brokers();
             }
             Some(HandoverEvent::StateReceived(state)) => {
                 self.adopt_predecessor_state(*state);
--- a/tests/sockets/brokers.rs
+++ b/tests/sockets/brokers.rs
@@ -2,12 +2,13 @@
 //! whether it arrives before, while or after the broker is drained.
 
 use crate::broker::{Broker, Message};
-use crate::control_kit::{Control, Fixture, SINGLE_WAVE, counter, wait_for};
+use crate::control_kit::{Control, Fixture, SINGLE_WAVE, counter, operator_file, wait_for};
 use crate::mqtt::{status, trigger};
-use crate::stand::{Line, Program};
+use crate::stand::{Line, Program, folder};
 use ochreward_control::admin::Request;
 use rustix::process::Signal;
 use serde_json::json;
+use std::net::TcpListener;
 
 const NO_TRIAL: &str = "trial_ms = 0";
 const RECEIVE_MAXIMUM: usize = 4;
@@ -167,3 +168,28 @@
     stage.first.publish(&trigger("alert-send", 2, 0));
     stage.serve_all(1, 2);
 }
+
+// Guards against a version whose brokers are never connected, since it came while a successor ran that then died.
+#[test]
+fn brokers_that_change_during_an_upgrade_that_is_given_up_are_connected() {
+    let (fixture, control) = (Fixture::new(), Control::start(SINGLE_WAVE));
+    let (first, second) = (Broker::start(), Broker::start());
+    let (socket, shared) = (TcpListener::bind("127.0.0.1:0").expect("a socket"), folder());
+    let path = operator_file(&[control.program.address], None, NO_TRIAL);
+    let arguments = ["run", "--operator", &path];
+    let old = Program::beside_with(&arguments, &socket, &shared, &fixture.config());
+    old.until_ready();
+    let version = control.publish(&document(&first, FILTER));
+    control.until_runs("n0", &version);
+    first.subscribed(1);
+    let new = Program::beside_with(&arguments, &socket, &shared, &fixture.config());
+    new.until_ready();
+    let version = control.publish(&document(&second, FILTER));
+    control.until_runs("n0", &version);
+    new.kill();
+    second.subscribed(1);
+    second.publish(&trigger("alert-send", 1, 0));
+    fixture.executor.next().ok(b"ran");
+    assert_eq!(second.answers(1).len(), 1);
+    assert_eq!(old.end().0, Some(0));
+}
