Broker's front: the connection's state, the records and the trigger stand in files of their own

A message that the broker sends twice under one packet id on one connection while the front drains is kept aside once, so that the receive maximum bounds what is kept.

Result: the tests brokers::, mqtt:: and configurations:: pass.

--- a/src/front/mqtt/front.rs
+++ b/src/front/mqtt/front.rs
@@ -5,13 +5,14 @@
 use super::options::Options;
 use super::packets;
 use super::records::{Message, MessageKey, Records, Stage};
+use super::session::{BrokerLimits, Decoder, Ping, Session};
+use super::trigger::parse_trigger;
 use crate::core::{FinalAnswer, Ticket};
 use crate::counters::{Counters, count};
-use crate::front::{Delivery, Fields, Intake, Invalid, ParsedRequest, Submission, WHY_MAY_HAVE_RUN};
-use crate::net::{Closed, Connection, Malformed, Poll, PollEvent, ProtocolHandler, Ring};
-use ochreward_mqtt::packet::{Connack, EncodeError, Packet, Publish};
-use ochreward_mqtt::{Properties, Qos, ReasonCode, Version, Violation, decode};
-use std::collections::{BTreeSet, VecDeque};
+use crate::front::{Delivery, Fields, Intake, Invalid, Submission, WHY_MAY_HAVE_RUN};
+use crate::net::{Closed, Connection, Malformed, Poll, PollEvent};
+use ochreward_mqtt::packet::{Connack, Packet, Publish};
+use ochreward_mqtt::{Qos, ReasonCode, Violation};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -23,82 +24,6 @@
 /// The delay before an answer that the broker rejected is published again.
 const PUBLISH_RETRY_DELAY_US: u64 = 1_000_000;
 
-/// Decodes the broker's packets.
-struct Decoder {
-    max_packet_bytes: usize,
-    /// A protocol violation by the broker, whose reason is sent in a DISCONNECT before the connection ends.
-    violation: Option<Violation>,
-}
-
-impl ProtocolHandler for Decoder {
-    type Out = Vec<Packet>;
-
-    fn on_received(&mut self, input: &mut Ring, out: &mut Vec<Packet>) -> Result<(), Malformed> {
-        let bytes = input.contiguous();
-        let mut done = 0;
-        loop {
-            match decode(&bytes[done..], Version::V5, self.max_packet_bytes) {
-                Ok(Some((packet, size))) => {
-                    out.push(packet);
-                    done += size;
-                }
-                Ok(None) => break,
-                Err(violation) => {
-                    self.violation = Some(violation);
-                    return Err(Malformed(violation.description));
-                }
-            }
-        }
-        input.consume(done);
-        Ok(())
-    }
-}
-
-/// The purpose of a ping. The broker answers in order, so a PINGRESP shows that everything sent before it was answered.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Ping {
-    /// Keeps the connection alive.
-    KeepAlive,
-    /// Marks the end of the record lookup of this message.
-    RecordLookup(i64),
-}
-
-/// The limits that a broker announced in CONNACK.
-#[derive(Clone, Copy, Debug)]
-struct BrokerLimits {
-    /// Unacknowledged QoS 1 messages that it accepts.
-    receive_maximum: u16,
-    /// The largest packet that it accepts.
-    maximum_packet: Option<u32>,
-    /// The keep-alive that it requires, in seconds.
-    keep_alive: Option<u16>,
-}
-
-/// The state of the current connection.
-struct Session {
-    link: Connection<Decoder>,
-    /// The limits from CONNACK; none before it arrives.
-    broker_limits: Option<BrokerLimits>,
-    /// When a packet that needs a response was last sent; none if no response is outstanding.
-    awaiting_since: Option<u64>,
-    /// When a packet was last sent.
-    last_sent: u64,
-    /// Pings without a response, in order.
-    pings: VecDeque<Ping>,
-    /// Record subscriptions without a SUBACK: packet id and message number.
-    record_lookups: Vec<(u16, i64)>,
-    /// Packet ids of messages received and not acknowledged.
-    unacknowledged: BTreeSet<u16>,
-    /// Messages received while draining, in order, until the broker is configured again. They are among the unacknowledged
-    /// ones, so that the receive maximum bounds them; the broker delivers them again on its next connection.
-    deferred: VecDeque<Publish>,
-    /// Answers published and not acknowledged.
-    unacknowledged_answers: usize,
-    /// Packet ids of sent packets that await a response.
-    used_ids: BTreeSet<u16>,
-    next_id: u16,
-}
-
 /// Whether the front takes requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -202,19 +127,7 @@
             return;
         };
         let _ = link.io.queue(&packets::connect(options));
-        self.session = Some(Session {
-            link,
-            broker_limits: None,
-            awaiting_since: Some(now),
-            last_sent: now,
-            pings: VecDeque::new(),
-            record_lookups: Vec::new(),
-            unacknowledged: BTreeSet::new(),
-            deferred: VecDeque::new(),
-            unacknowledged_answers: 0,
-            used_ids: BTreeSet::new(),
-            next_id: 1,
-        });
+        self.session = Some(Session::new(link, now));
     }
 
     fn drop_session(&mut self, why: Closed) {
@@ -340,6 +253,7 @@
             self.acknowledge(now, publish.packet_id);
             return Ok(());
         }
+        let is_deferred = self.state == State::Draining && !self.is_known(&publish);
         let Some(session) = &mut self.session else { return Ok(()) };
         if publish.qos == Qos::ExactlyOnce {
             // The subscription is of QoS 1, and a broker may not exceed that [MQTT-3.8.4-8].
@@ -350,8 +264,9 @@
             });
             return Err(Malformed("an MQTT message of a higher QoS than was granted"));
         }
+        let mut is_new_delivery = false;
         if publish.packet_id > 0 {
-            session.unacknowledged.insert(publish.packet_id);
+            is_new_delivery = session.unacknowledged.insert(publish.packet_id);
             if session.unacknowledged.len() > usize::from(self.options.receive_maximum) {
                 session.link.handler.violation = Some(Violation {
                     reason: ReasonCode::ReceiveMaximumExceeded,
@@ -361,8 +276,12 @@
                 return Err(Malformed("more MQTT messages than may be unacknowledged"));
             }
         }
-        if self.state == State::Draining && !self.is_known(&publish) {
-            self.defer(publish);
+        if is_deferred {
+            count(&self.counters.mqtt_while_draining);
+            // Those of QoS 0, and repeats under one packet id, are dropped: nothing would bound their number.
+            if is_new_delivery {
+                session.deferred.push_back(publish);
+            }
             return Ok(());
         }
         self.take_message(now, unix_ms, publish)
@@ -376,14 +295,6 @@
         self.records.open(&key).is_some() || self.records.answered(&key)
     }
 
-    /// Keeps a message that arrived while draining. One of QoS 0 is dropped, since nothing bounds their number.
-    fn defer(&mut self, publish: Publish) {
-        count(&self.counters.mqtt_while_draining);
-        if let Some(session) = self.session.as_mut().filter(|_| publish.packet_id > 0) {
-            session.deferred.push_back(publish);
-        }
-    }
-
     /// Takes a message as a request, or as a repeat of one.
     fn take_message(&mut self, now: u64, unix_ms: u64, publish: Publish) -> Result<(), Malformed> {
         count(&self.counters.mqtt_messages);
@@ -685,92 +596,3 @@
         ping_due.min(timeout).min(self.retry_at.unwrap_or(u64::MAX))
     }
 }
-
-impl Session {
-    /// Returns a packet id that is not in use.
-    fn next_packet_id(&mut self) -> u16 {
-        // Packet ids wrap around: one still in use is skipped, since its acknowledgement would be taken for another's.
-        // Far fewer are in use than exist, so the loop ends; 0 is not a valid id.
-        while !self.used_ids.insert(self.next_id) {
-            self.next_id = self.next_id.checked_add(1).unwrap_or(1);
-        }
-        self.next_id
-    }
-
-    fn send(&mut self, now: u64, packet: &[u8]) -> bool {
-        self.last_sent = now;
-        self.link.io.queue(packet)
-    }
-
-    fn ping(&mut self, now: u64, ping: Ping) {
-        if self.send(now, &packets::pingreq()) {
-            self.pings.push_back(ping);
-            self.awaiting_since = Some(now);
-        }
-    }
-
-    fn keep_alive(&self, options: &Options) -> u64 {
-        let server_keep_alive = self.broker_limits.as_ref().and_then(|b| b.keep_alive);
-        u64::from(server_keep_alive.unwrap_or(options.keep_alive)) * 1_000_000
-    }
-}
-
-impl Message {
-    fn unchecked(&self) -> bool {
-        self.stage == Stage::Answered { checked: false }
-    }
-
-    fn awaits_record(&self) -> bool {
-        self.stage == Stage::LookingUp || self.unchecked()
-    }
-
-    fn publish(&self, id: u16, expiry: u32, max_packet_bytes: Option<u32>) -> Result<Vec<u8>, EncodeError> {
-        let pair = |n: &str, v: &str| (n.to_string(), v.to_string());
-        let mut user = vec![pair("call", &self.call)];
-        user.extend(self.answer.0.iter().cloned());
-        let mut payload = self.answer.1.clone();
-        if payload.is_empty() {
-            // A retained message without a payload would delete the record instead of storing it.
-            user.push(pair("body", "empty"));
-            payload.push(b'-');
-        }
-        let properties = Properties {
-            correlation: Some(self.correlation.clone()),
-            message_expiry: Some(expiry),
-            user,
-            ..Properties::default()
-        };
-        let topic = self.topic.clone();
-        let publish = Publish {
-            retain: self.retained,
-            qos: Qos::AtLeastOnce,
-            packet_id: id,
-            topic,
-            properties,
-            payload,
-            ..Publish::default()
-        };
-        packets::publish(publish, max_packet_bytes)
-    }
-}
-
-/// Parses a trigger: the parameters of its request, and when its client sent it.
-fn parse_trigger(
-    publish: &Publish,
-    fields: &Fields,
-    retained: bool,
-) -> Result<(ParsedRequest, u64), Invalid> {
-    let sketch = ParsedRequest::read(fields)?;
-    let sent = fields.get("sent").ok_or(Invalid { field: "sent", why: "is missing" })?;
-    let sent = sent.parse().map_err(|_| Invalid { field: "sent", why: "must be Unix milliseconds" })?;
-    if !retained {
-        return Err(Invalid { field: "response-topic", why: "must end with a level that is the call's id" });
-    }
-    if publish.properties.correlation.is_none() {
-        return Err(Invalid { field: "correlation-data", why: "is missing" });
-    }
-    if publish.qos != Qos::AtLeastOnce {
-        return Err(Invalid { field: "qos", why: "must be 1" });
-    }
-    Ok((sketch, sent))
-}
--- a/src/front/mqtt/mod.rs
+++ b/src/front/mqtt/mod.rs
@@ -6,7 +6,9 @@
 mod options;
 mod packets;
 mod records;
+mod session;
 mod set;
+mod trigger;
 
 pub use options::Options;
 pub use set::Fronts;
--- a/src/front/mqtt/records.rs
+++ b/src/front/mqtt/records.rs
@@ -1,7 +1,10 @@
 //! The state of each message until its single answer is acknowledged, and the ids of messages answered before. The
 //! ids are bounded in number; unacknowledged QoS 1 messages are bounded by the receive maximum.
 
+use super::packets;
 use crate::front::ParsedRequest;
+use ochreward_mqtt::packet::{EncodeError, Publish};
+use ochreward_mqtt::{Properties, Qos};
 use siphasher::sip::SipHasher13;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{Hash, Hasher};
@@ -66,6 +69,51 @@
     fn key(&self) -> MessageKey {
         MessageKey::of(&self.call, &self.topic)
     }
+
+    /// Returns whether the answer waits for a look at whether the broker holds it already.
+    pub fn unchecked(&self) -> bool {
+        self.stage == Stage::Answered { checked: false }
+    }
+
+    /// Returns whether its record is being looked up.
+    pub fn awaits_record(&self) -> bool {
+        self.stage == Stage::LookingUp || self.unchecked()
+    }
+
+    /// Encodes the PUBLISH of the answer under this packet id; fails if it is larger than the broker takes.
+    pub fn publish(
+        &self,
+        id: u16,
+        expiry: u32,
+        max_packet_bytes: Option<u32>,
+    ) -> Result<Vec<u8>, EncodeError> {
+        let pair = |n: &str, v: &str| (n.to_string(), v.to_string());
+        let mut user = vec![pair("call", &self.call)];
+        user.extend(self.answer.0.iter().cloned());
+        let mut payload = self.answer.1.clone();
+        if payload.is_empty() {
+            // A retained message without a payload would delete the record instead of storing it.
+            user.push(pair("body", "empty"));
+            payload.push(b'-');
+        }
+        let properties = Properties {
+            correlation: Some(self.correlation.clone()),
+            message_expiry: Some(expiry),
+            user,
+            ..Properties::default()
+        };
+        let topic = self.topic.clone();
+        let publish = Publish {
+            retain: self.retained,
+            qos: Qos::AtLeastOnce,
+            packet_id: id,
+            topic,
+            properties,
+            payload,
+            ..Publish::default()
+        };
+        packets::publish(publish, max_packet_bytes)
+    }
 }
 
 /// All messages without an acknowledged answer, and the ids of those answered.
