Versions: a keyed class is repeated only where and as long as the platform's file allows

What callers would see: with a version's class that has a longer window or a wider key scope than the file, or is idempotent where the file has it as deduplicated, a call is sent again where its key is not known any more: it may run twice (WIRE, 'Effects never duplicated': for deduplicated, inside its window and scope).

Cause: rules.rs compared the window with what runs, for classes in use, and with the file by no way; the key scope was compared by none. So a file that shortens the window at a SIGHUP or a start was overlaid by the version's longer one.

Change: check_keys among the platform's limits, by every way. A key that two rules name is listed once.

Why it works: window and scope say what the platform's workers remember; a version can narrow what is made of it, not widen it.

--- a/src/versions/rules.rs
+++ b/src/versions/rules.rs
@@ -4,7 +4,7 @@
 //! The platform's limits hold whenever a version is in use, whichever of file and version changed last; the other rules
 //! are for a version that is newly applied. Does no I/O.
 
-use crate::api::{Class, Effect};
+use crate::api::{Class, Effect, KeyScope};
 use crate::config::{MAX_DRAIN_GRACE_US, Settings, VersionedConfig};
 use crate::discovery::ZoneAndKindNames;
 use ochreward_stream::wire::Fault;
@@ -57,7 +57,7 @@
 pub fn violations(context: &CheckContext, new: &VersionedConfig) -> Vec<Fault> {
     let mut faults = platform_violations(context.platform.as_ref(), new);
     for fault in change_violations(context, new) {
-        if !faults.contains(&fault) {
+        if faults.iter().all(|known| known.key != fault.key) {
             faults.push(fault);
         }
     }
@@ -74,6 +74,7 @@
     if let Some(platform) = platform {
         check_resources(&mut faults, platform, new);
         check_effects(&mut faults, &platform.settings, &new.settings);
+        check_keys(&mut faults, &platform.settings, &new.settings);
         check_vocabulary(&mut faults, &platform.settings.vocabulary, &new.settings.vocabulary);
     }
     faults.0
@@ -193,6 +194,37 @@
     }
 }
 
+/// Checks that keyed classes are repeated only where and as long as the platform's workers know a key.
+fn check_keys(faults: &mut Faults, platform: &Settings, new: &Settings) {
+    for (given, name) in platform.module.classes.iter().zip(&platform.classes) {
+        let Some(class) = class_of(new, name).filter(|_| given.effect == Effect::Deduplicated) else {
+            continue;
+        };
+        let window_key = class_key(name, ".repeat_window_us");
+        if class.effect == Effect::Idempotent {
+            faults.require(false, window_key, "would allow repeats without a window of a deduplicated class");
+        } else if class.effect == Effect::Deduplicated {
+            let why = "is longer than the platform's workers know a key";
+            faults.require(class.repeat_window <= given.repeat_window, window_key, why);
+            let why = "is wider than the platform's workers share a key";
+            faults.require(
+                scope_width(class.key_scope) <= scope_width(given.key_scope),
+                class_key(name, ".key_scope"),
+                why,
+            );
+        }
+    }
+}
+
+/// Orders key scopes by the set of workers that they hold.
+fn scope_width(scope: KeyScope) -> u8 {
+    match scope {
+        KeyScope::Cell => 0,
+        KeyScope::Zone => 1,
+        KeyScope::All => 2,
+    }
+}
+
 /// Checks that no class with open requests is removed or loses its key's window.
 fn check_classes_in_use(faults: &mut Faults, running: &Settings, in_use: &BTreeSet<String>, new: &Settings) {
     for ((class, name), retired) in running.module.classes.iter().zip(&running.classes).zip(&running.retired)
--- a/src/versions/rules/tests.rs
+++ b/src/versions/rules/tests.rs
@@ -59,6 +59,11 @@
         ("/settings/lanes/2/effect", json!("idempotent"), "settings.lanes[alert-send].effect"),
         ("/settings/lanes/1/effect", json!("idempotent"), "settings.lanes[level-log].repeat_window_us"),
         ("/settings/lanes/1/repeat_window_us", json!(9), "settings.lanes[level-log].repeat_window_us"),
+        (
+            "/settings/lanes/1/repeat_window_us",
+            json!(1_000_001),
+            "settings.lanes[level-log].repeat_window_us",
+        ),
         ("/settings/zones", json!(["b", "a"]), "settings.zones"),
         ("/settings/kinds", json!([]), "settings.kinds"),
     ];
--- a/tests/sockets/configurations.rs
+++ b/tests/sockets/configurations.rs
@@ -14,15 +14,44 @@
 struct Change {
     pointer: &'static str,
     permits: Value,
-    version: &'static str,
+    version: String,
     forbids: Value,
     /// The key that the refusal names.
     key: &'static str,
 }
 
 fn changes() -> Vec<Change> {
-    let change = |pointer, permits, version, forbids, key| Change { pointer, permits, version, forbids, key };
+    let change = |pointer, permits, version: &str, forbids, key| {
+        let version = version.to_string();
+        Change { pointer, permits, version, forbids, key }
+    };
+    let classes = |pointer: &str, value: Value| {
+        let mut lanes = base_config()["settings"]["lanes"].clone();
+        *lanes.pointer_mut(pointer).expect("a key") = value;
+        lanes_document(&lanes)
+    };
     vec![
+        change(
+            "/settings/lanes/1/repeat_window_us",
+            json!(15_000_000),
+            &classes("/1/repeat_window_us", json!(15_000_000)),
+            json!(2_000_000),
+            "settings.lanes[level-log].repeat_window_us",
+        ),
+        change(
+            "/settings/lanes/1/key_scope",
+            json!("all"),
+            &classes("/1/key_scope", json!("all")),
+            json!("zone"),
+            "settings.lanes[level-log].key_scope",
+        ),
+        change(
+            "/settings/lanes/1/effect",
+            json!("idempotent"),
+            &classes("/1/effect", json!("idempotent")),
+            json!("deduplicated"),
+            "settings.lanes[level-log].repeat_window_us",
+        ),
         change(
             "/settings/family_info/loads_anyway",
             json!(6),
@@ -77,12 +106,20 @@
     config
 }
 
+fn base_config() -> Value {
+    config(&[&Executor::start()], &Names::start())
+}
+
+/// Returns a version's document that sets the classes.
+fn lanes_document(lanes: &Value) -> String {
+    toml::to_string(&json!({"fleet": {"settings": {"lanes": lanes}}})).expect("TOML")
+}
+
 /// Returns a version's document that sets the fixture's classes, with the effect of `alert-send`.
 fn classes_document(effect: &str) -> String {
-    let (executor, names) = (Executor::start(), Names::start());
-    let mut lanes = config(&[&executor], &names)["settings"]["lanes"].clone();
+    let mut lanes = base_config()["settings"]["lanes"].clone();
     lanes[2]["effect"] = json!(effect);
-    toml::to_string(&json!({"fleet": {"settings": {"lanes": lanes}}})).expect("TOML")
+    lanes_document(&lanes)
 }
 
 /// Returns the fixture's file in which `alert-send` has this effect.
@@ -143,7 +180,7 @@
         let permits = with(&fixture, change.pointer, &change.permits);
         let forbids = with(&fixture, change.pointer, &change.forbids);
         let program = fixture.start_with(&permits, &services, NO_TRIAL);
-        let version = control.publish(change.version);
+        let version = control.publish(&change.version);
         control.until_runs("n0", &version);
         until_stored(&fixture, &program);
         reload(&program, &forbids);
