Test: a stop of the process is not taken back by a configuration

Cause: the front of a broker serves again when it is configured again; that must hold for a stop of the one, not for a stop of the whole process.

Change: a test of the set of fronts, without a broker. It passes as it is and fails without the look at 'stopping' in Fronts::reconcile.

--- a/src/front/mqtt/set.rs
+++ b/src/front/mqtt/set.rs
@@ -156,3 +156,6 @@
         self.slots.iter_mut().flatten().for_each(|f| f.leave(poll));
     }
 }
+
+#[cfg(test)]
+mod tests;
