--- a/src/node/reload.rs
+++ b/src/node/reload.rs
@@ -81,13 +81,14 @@
         let (serial, executors) = std::mem::take(&mut config.initial_list);
         self.config = config;
         self.update_own_file();
+        let is_list_published = selection.is_some();
         match selection {
             Some(selection) => self.apply_selection(selection, Origin::Reload),
             None => self.adopt_settings(),
         }
         if self.resolver.offer_list(self.now, ListOrigin::Configuration, serial, executors) {
             self.list_changed();
-        } else {
+        } else if !is_list_published {
             self.publish_list();
         }
         Ok(())
--- a/src/node/versions.rs
+++ b/src/node/versions.rs
@@ -9,7 +9,7 @@
 use super::{Node, STREAM, VERSION_THREAD};
 use crate::api::WorkerId;
 use crate::config::version::Effective;
-use crate::config::{Config, Stream as StreamConfig, VersionedConfig};
+use crate::config::{Config, Stream as StreamConfig};
 use crate::counters::Counters;
 use crate::front::mqtt;
 use crate::net::{Poll, PollEvent};
@@ -46,17 +46,29 @@
     Rollback,
 }
 
+impl Origin {
+    /// Returns the rules that a version was held against on this way.
+    fn rules(self) -> &'static str {
+        match self {
+            Origin::Version => "the platform's limits and what is in use",
+            Origin::Start | Origin::Reload | Origin::OtherProcess | Origin::Rollback => {
+                "the platform's limits"
+            }
+        }
+    }
+}
+
 /// Logs which configuration comes into use, and whether it keeps the platform's limits.
 fn log_configuration_in_use(config: &Config, origin: Origin, version: Option<Version>) {
-    let platform = if config.has_no_settings { None } else { VersionedConfig::read(config.source()).ok() };
-    let context = CheckContext { platform, running: None, usage: Usage::default() };
-    let violations = rules::violations(&context, &config.parts);
+    let platform = Node::own_file(config).platform();
+    let violations = rules::platform_violations(platform.as_ref(), &config.parts);
     let fault = violations.first().map(ToString::to_string).unwrap_or_default();
     let version = version.map_or_else(|| "none".to_string(), |v| v.to_string());
     info!(
         instance = config.name,
         ?origin,
         version,
+        rules = origin.rules(),
         violations = violations.len(),
         fault,
         "a configuration is in use"
--- a/tests/sockets/configurations.rs
+++ b/tests/sockets/configurations.rs
@@ -134,6 +134,16 @@
     });
 }
 
+/// Starts a dispatcher on a stored version in which `alert-send` may be repeated, as in its file; returns both.
+fn start_on_repeatable_alerts(fixture: &Fixture, control: &Control) -> (Program, String) {
+    let config = config_with_effect(fixture, "idempotent");
+    let program = fixture.start_with(&config, &[control.program.address], NO_TRIAL);
+    let version = control.publish(&classes_document("idempotent"));
+    control.until_runs("n0", &version);
+    until_stored(fixture, &program);
+    (program, version)
+}
+
 fn reload(program: &Program, config: &Value) {
     std::fs::write(&program.path, config.to_string()).expect("written");
     program.signal(Signal::HUP);
@@ -154,10 +164,7 @@
 fn stored_version_that_the_changed_file_forbids_is_not_used_at_a_start() {
     let (fixture, control) = (Fixture::new(), Control::start(SINGLE_WAVE));
     let services = [control.program.address];
-    let program = fixture.start_with(&config_with_effect(&fixture, "idempotent"), &services, NO_TRIAL);
-    let version = control.publish(&classes_document("idempotent"));
-    control.until_runs("n0", &version);
-    until_stored(&fixture, &program);
+    let (program, version) = start_on_repeatable_alerts(&fixture, &control);
     assert_eq!(program.end().0, Some(0));
     let program = fixture.start_with(&config_with_effect(&fixture, "at_most_once"), &services, NO_TRIAL);
     assert_eq!(counter(&program, "version_number"), 0);
@@ -197,11 +204,7 @@
 #[test]
 fn running_version_gives_way_to_a_reloaded_file_and_returns_with_it() {
     let (fixture, control) = (Fixture::new(), Control::start(SINGLE_WAVE));
-    let services = [control.program.address];
-    let program = fixture.start_with(&config_with_effect(&fixture, "idempotent"), &services, NO_TRIAL);
-    let version = control.publish(&classes_document("idempotent"));
-    control.until_runs("n0", &version);
-    until_stored(&fixture, &program);
+    let (program, version) = start_on_repeatable_alerts(&fixture, &control);
     reload(&program, &config_with_effect(&fixture, "at_most_once"));
     assert_eq!(counter(&program, "version_number"), 0);
     assert_eq!(counter(&program, "versions_withdrawn"), 1);
