Versions: a rollback that is read late doesn't replace what has come into use meanwhile

What operators would see: a version that was acknowledged is not the one in use, after a trial that failed while the next version was being checked.

Cause: Job::RollBack is read by the version thread, and its result was applied whatever had come into use since: StreamEvent::RollBack applied the older version's settings, while the subscriber had the next version as running.

Change: a rollback names the version and the own file that it is for, and is passed over once either is not what runs any more (ConfigStream::is_outdated). A SIGHUP over another file was passed over before by its file.

The crossing itself was not played on a process.

Why it works: the loop applies a rollback only while the subscriber still has its target as running.

--- a/src/versions/store_thread.rs
+++ b/src/versions/store_thread.rs
@@ -41,12 +41,22 @@
 pub enum JobResult {
     /// The outcome of a check, with the own file that the version was read over.
     Checked(OfferId, Arc<Snapshot>, Arc<OwnFile>, CheckOutcome),
-    /// The configuration to roll back to, with the own file that it was selected for.
-    RolledBack(Arc<OwnFile>, Box<Selection>),
+    /// The configuration to use after a rollback.
+    RolledBack(Box<Rollback>),
     /// A file could not be written: what it holds, and why.
     WriteFailed(&'static str, io::Error),
 }
 
+/// What a rollback leads to.
+pub struct Rollback {
+    /// The version to roll back to; `None` for the own file.
+    pub to: Option<Version>,
+    /// The own file that the selection is for.
+    pub own_file: Arc<OwnFile>,
+    /// What to use: that version, or the own file if the version is not permitted.
+    pub selection: Selection,
+}
+
 /// The event loop's handle of the thread.
 pub type VersionThread = BackgroundThread<Job, JobResult>;
 
@@ -74,7 +84,8 @@
         Job::RollBack { to, from, own_file } => {
             discard_trial(files, from);
             let selection = select(to.as_slice(), &own_file);
-            Some(JobResult::RolledBack(own_file, Box::new(selection)))
+            let to = to.map(|snapshot| snapshot.version);
+            Some(JobResult::RolledBack(Box::new(Rollback { to, own_file, selection })))
         }
         Job::DiscardTrial(version) => {
             discard_trial(files, version);
--- a/src/versions/store_thread/tests.rs
+++ b/src/versions/store_thread/tests.rs
@@ -53,7 +53,8 @@
     let snapshot = Arc::new(snapshot(1, r#"{"memory_mb": 128}"#));
     let result =
         run_job(None, Job::RollBack { to: Some(snapshot), from: Version::new(1, 2), own_file: own_file() });
-    let Some(JobResult::RolledBack(_, selection)) = result else { panic!("no selection") };
+    let Some(JobResult::RolledBack(rollback)) = result else { panic!("no rollback") };
+    let selection = rollback.selection;
     assert_eq!((selection.version, selection.withdrawn.len()), (None, 1));
     assert_eq!(selection.effective.map(|e| e.parts.resources.memory), Some(64 << 20));
 }
--- a/src/versions/stream.rs
+++ b/src/versions/stream.rs
@@ -6,7 +6,7 @@
 
 use super::rules::CheckContext;
 use super::selection::{OwnFile, Selection, select};
-use super::store_thread::{self, Job, JobResult, VersionThread};
+use super::store_thread::{self, Job, JobResult, Rollback, VersionThread};
 use crate::config::{Stream as StreamConfig, version::Effective};
 use crate::counters::{Counters, add, count};
 use crate::net::{Connection, Malformed, Poll, PollEvent, ProtocolHandler, Ring};
@@ -284,14 +284,21 @@
                     self.subscriber.on_checked(ticket, Ok(()));
                 }
                 JobResult::Checked(ticket, _, _, Err(why)) => self.subscriber.on_checked(ticket, Err(why)),
-                // A SIGHUP has changed the own file meanwhile, and has selected the version to roll back to itself.
-                JobResult::RolledBack(own_file, _) if !Arc::ptr_eq(&own_file, &self.own_file) => {}
-                JobResult::RolledBack(_, selection) => self.events.push(StreamEvent::RollBack(selection)),
+                JobResult::RolledBack(rollback) if self.is_outdated(&rollback) => {}
+                JobResult::RolledBack(rollback) => {
+                    self.events.push(StreamEvent::RollBack(Box::new(rollback.selection)))
+                }
                 JobResult::WriteFailed(what, reason) => warn!(what, %reason, "could not be written to disk"),
             }
         }
     }
 
+    /// Returns whether something else has come into use since the rollback was decided: a SIGHUP has selected anew over
+    /// another own file, or a version whose check was under way has been applied.
+    fn is_outdated(&self, rollback: &Rollback) -> bool {
+        !Arc::ptr_eq(&rollback.own_file, &self.own_file) || rollback.to != self.version()
+    }
+
     /// Has the version thread check a version against the context.
     pub fn check(&self, ticket: OfferId, snapshot: Arc<Snapshot>, context: CheckContext) {
         self.thread.submit(Job::Check(ticket, snapshot, self.own_file.clone(), Box::new(context)));
@@ -460,3 +467,6 @@
         self.update_gauges();
     }
 }
+
+#[cfg(test)]
+mod tests;
