Versions: the log of a configuration in use no longer reads the own file again

Cause: log_configuration_in_use (src/node/versions.rs) cloned, read and checked the own file once more on the event loop for each version.

Change: the log has origin, version and rules; violations and fault, always 0 and empty since the fix, are gone. What gives way is told with its fault as before.

--- a/src/node/versions.rs
+++ b/src/node/versions.rs
@@ -58,21 +58,10 @@
     }
 }
 
-/// Logs which configuration comes into use, and whether it keeps the platform's limits.
+/// Logs which configuration comes into use. A version among it has been held against the rules of its way.
 fn log_configuration_in_use(config: &Config, origin: Origin, version: Option<Version>) {
-    let platform = Node::own_file(config).platform();
-    let violations = rules::platform_violations(platform.as_ref(), &config.parts);
-    let fault = violations.first().map(ToString::to_string).unwrap_or_default();
     let version = version.map_or_else(|| "none".to_string(), |v| v.to_string());
-    info!(
-        instance = config.name,
-        ?origin,
-        version,
-        rules = origin.rules(),
-        violations = violations.len(),
-        fault,
-        "a configuration is in use"
-    );
+    info!(instance = config.name, ?origin, version, rules = origin.rules(), "a configuration is in use");
 }
 
 /// Starts the stream, and applies the stored version to the configuration.
